--- /dev/null
+++ b/crates/codegen/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/state/src/admission.rs
@@ -0,0 +1,1 @@
+//! Bounded queues by rank with floors.
--- /dev/null
+++ b/crates/state/src/blocks.rs
@@ -0,0 +1,1 @@
+//! Longest-prefix table from client blocks to regions.
--- /dev/null
+++ b/crates/state/src/bucket.rs
@@ -0,0 +1,1 @@
+//! Token buckets for rate limits.
--- /dev/null
+++ b/crates/state/src/config.rs
@@ -0,0 +1,1 @@
+//! Configuration entries by revision.
--- /dev/null
+++ b/crates/state/src/ledger.rs
@@ -0,0 +1,1 @@
+//! Shares of limits and loans between daemons.
--- /dev/null
+++ b/crates/state/src/membership.rs
@@ -0,0 +1,1 @@
+//! Members of the failure domain and summaries of the others.
--- /dev/null
+++ b/crates/state/src/node.rs
@@ -0,0 +1,1 @@
+//! The decision logic of one daemon.
--- /dev/null
+++ b/crates/state/src/operation.rs
@@ -0,0 +1,1 @@
+//! Operations that may not be repeated.
--- /dev/null
+++ b/crates/state/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash backend servers.
--- /dev/null
+++ b/crates/state/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server.
--- /dev/null
+++ b/crates/state/src/status.rs
@@ -0,0 +1,1 @@
+//! The plain status text.
--- /dev/null
+++ b/crates/state/src/time.rs
@@ -0,0 +1,60 @@
+//! Points in time as the decision logic sees them.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on the daemon's own clock, which also counts while the machine is suspended.
+///
+/// Timestamps of two daemons are not comparable.
+///
+/// ```
+/// use std::time::Duration;
+/// use medlarstair_state::time::Timestamp;
+/// let t = Timestamp::from_millis(5) + Duration::from_millis(2);
+/// assert_eq!(t.since(Timestamp::from_millis(5)), Duration::from_millis(2));
+/// assert_eq!(Timestamp::ZERO.since(t), Duration::ZERO);
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// A point `ms` milliseconds after the start of the clock.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1000)
+    }
+
+    /// Time since `earlier`; zero if `earlier` is later than `self`.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
