--- a/crates/state/src/ledger.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Shares of limits and loans between daemons.
--- /dev/null
+++ b/crates/state/src/ledger/division.rs
@@ -0,0 +1,147 @@
+//! Home sets and the division of a limit into base shares.
+//!
+//! Every daemon computes the same division, because it depends only on the limit, the fleet and stable hashes. The
+//! method of largest remainders can in general shrink a share when the limit is raised (the Alabama paradox). With
+//! the weights used here, all equal or 1 and 2 among at most [`HOME_SET_MAX`] daemons, it does not; daemons that
+//! briefly disagree about a limit therefore stay below the higher one together.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rapidhash::v3::rapidhash_v3;
+
+use super::key::{LimitKey, Scope, Units};
+use crate::id::{Domain, NodeId, Region};
+use crate::model::FleetMember;
+
+/// Most daemons among which the slots of one backend server are divided.
+pub const HOME_SET_MAX: usize = 4;
+
+/// Weight of a daemon in the failure domain of the backend server. It is the most likely to reach it.
+const DOMAIN_WEIGHT: u64 = 2;
+
+/// Weight of every other daemon.
+const OTHER_WEIGHT: u64 = 1;
+
+/// Hash of a key, the same on every daemon.
+pub(super) fn key_hash(key: &LimitKey) -> u64 {
+    rapidhash_v3(key.to_string().as_bytes())
+}
+
+/// Rendezvous score of a daemon for a key.
+fn score(key_hash: u64, node: NodeId) -> u64 {
+    let mut buf = [0; 12];
+    buf[..8].copy_from_slice(&key_hash.to_le_bytes());
+    buf[8..].copy_from_slice(&node.0.to_le_bytes());
+    rapidhash_v3(&buf)
+}
+
+/// One fleet list, arranged for the computation of home sets.
+#[derive(Debug, Default)]
+pub(super) struct Roster {
+    all: Arc<[NodeId]>,
+    regions: BTreeMap<Region, RegionRoster>,
+}
+
+#[derive(Debug, Default)]
+struct RegionRoster {
+    nodes: Arc<[NodeId]>,
+    domains: BTreeMap<Domain, Vec<NodeId>>,
+}
+
+/// The daemons that divide one limit.
+#[derive(Debug, Clone, Default)]
+pub(super) struct HomeSet {
+    pub(super) nodes: Arc<[NodeId]>,
+    /// The first `in_domain` nodes have [`DOMAIN_WEIGHT`].
+    in_domain: usize,
+}
+
+impl Roster {
+    pub(super) fn new(members: &[FleetMember]) -> Self {
+        let mut roster = Self { all: sorted(members.iter()), regions: BTreeMap::new() };
+        for m in members {
+            let region = roster.regions.entry(m.region.clone()).or_default();
+            region.domains.entry(m.domain.clone()).or_default().push(m.node);
+        }
+        for (name, region) in &mut roster.regions {
+            region.nodes = sorted(members.iter().filter(|m| m.region == *name));
+        }
+        roster
+    }
+
+    pub(super) fn nodes(&self) -> &[NodeId] {
+        &self.all
+    }
+
+    pub(super) fn contains(&self, node: NodeId) -> bool {
+        self.all.binary_search(&node).is_ok()
+    }
+
+    pub(super) fn home_set(&self, scope: &Scope, key_hash: u64) -> HomeSet {
+        match scope {
+            Scope::Fleet => HomeSet { nodes: self.all.clone(), in_domain: 0 },
+            Scope::Region(region) => {
+                let nodes = self.regions.get(region).map(|r| r.nodes.clone()).unwrap_or_default();
+                HomeSet { nodes, in_domain: 0 }
+            }
+            Scope::Home { region, domain } => match self.regions.get(region) {
+                Some(r) => r.home_set(domain, key_hash),
+                None => HomeSet::default(),
+            },
+        }
+    }
+}
+
+impl RegionRoster {
+    fn home_set(&self, domain: &Domain, key_hash: u64) -> HomeSet {
+        let own = self.domains.get(domain).map(Vec::as_slice).unwrap_or_default();
+        let mut nodes = own.to_vec();
+        by_score(&mut nodes, key_hash);
+        nodes.truncate(HOME_SET_MAX);
+        let in_domain = nodes.len();
+        if in_domain < HOME_SET_MAX {
+            let mut others: Vec<_> = self.nodes.iter().copied().filter(|n| !own.contains(n)).collect();
+            by_score(&mut others, key_hash);
+            nodes.extend(others.into_iter().take(HOME_SET_MAX - in_domain));
+        }
+        HomeSet { nodes: nodes.into(), in_domain }
+    }
+}
+
+fn sorted<'a>(members: impl Iterator<Item = &'a FleetMember>) -> Arc<[NodeId]> {
+    let mut nodes: Vec<_> = members.map(|m| m.node).collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    nodes.into()
+}
+
+fn by_score(nodes: &mut [NodeId], key_hash: u64) {
+    nodes.sort_unstable_by_key(|&n| (std::cmp::Reverse(score(key_hash, n)), n));
+}
+
+impl HomeSet {
+    /// Share of `me` by largest remainder; equal remainders are ordered by rendezvous score.
+    pub(super) fn share(&self, limit: Units, key_hash: u64, me: NodeId) -> Units {
+        let Some(position) = self.nodes.iter().position(|&n| n == me) else { return Units::ZERO };
+        let limit = u64::from(limit.0);
+        let in_domain = self.in_domain as u64;
+        let others = self.nodes.len() as u64 - in_domain;
+        let total = in_domain * DOMAIN_WEIGHT + others * OTHER_WEIGHT;
+        let part = |weight: u64| (limit * weight / total, limit * weight % total);
+        let given = part(DOMAIN_WEIGHT).0 * in_domain + part(OTHER_WEIGHT).0 * others;
+        let (floor, remainder) = part(self.weight(position));
+        let left = (limit - given) as usize;
+        if left == 0 || remainder == 0 {
+            return Units(floor as u32);
+        }
+        let rank = |i: usize, node| (part(self.weight(i)).1, score(key_hash, node), std::cmp::Reverse(node));
+        let own = rank(position, me);
+        let ahead = self.nodes.iter().enumerate().filter(|&(i, &n)| rank(i, n) > own).take(left).count();
+        Units(floor as u32 + u32::from(ahead < left))
+    }
+
+    fn weight(&self, position: usize) -> u64 {
+        if position < self.in_domain { DOMAIN_WEIGHT } else { OTHER_WEIGHT }
+    }
+}
--- /dev/null
+++ b/crates/state/tests/ledger.rs
@@ -0,0 +1,537 @@
+//! The sum of the units in use over all daemons stays below each limit, whatever happens to messages, clocks and
+//! processes; and with messages flowing, idle shares can be borrowed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use medlarstair_state::id::{Boot, Incarnation, NodeId};
+use medlarstair_state::ledger::*;
+use medlarstair_state::model::{Fleet, FleetMember, MAX_RUN};
+use medlarstair_state::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Microseconds of real time.
+type Micros = u64;
+
+const TICK: Micros = 20_000;
+
+/// Real time after which nothing that a lowered limit allowed before can still run, with 2 % slow clocks.
+const RUN_OUT: Micros = 12_000_000;
+
+fn member(node: u32) -> FleetMember {
+    let region = if node % 7 < 5 { "east" } else { "west" };
+    let address = "127.0.0.1:7000".parse().unwrap();
+    FleetMember {
+        node: NodeId(node),
+        region: region.parse().unwrap(),
+        domain: format!("{region}-{}", node % 2).parse().unwrap(),
+        peer_address: address,
+        http_address: address,
+    }
+}
+
+fn fleet(nodes: impl IntoIterator<Item = u32>) -> Fleet {
+    Fleet { members: nodes.into_iter().map(member).collect(), previous: Vec::new() }
+}
+
+static LIMITS: LazyLock<[(LimitKey, Scope); 2]> = LazyLock::new(|| {
+    let home = Scope::Home { region: "east".parse().unwrap(), domain: "east-0".parse().unwrap() };
+    let rate = LimitKey::Rate("acme".parse().unwrap(), "stock".parse().unwrap());
+    [(LimitKey::Slots("b1".parse().unwrap()), home), (rate, Scope::Fleet)]
+});
+
+#[derive(Debug, Clone)]
+enum Message {
+    Request(LoanRequest),
+    Grant(LoanGrant),
+    Return(LoanReturn),
+    Audit(LoanAudit),
+    Answer(LoanAuditAnswer),
+    /// Number of the value, the key that it belongs to and the limit.
+    Limit(u64, usize, u32),
+    /// Number of the value and the fleet.
+    Fleet(u64, Fleet),
+}
+
+#[derive(Debug)]
+struct Daemon {
+    ledger: Ledger,
+    boot: u64,
+    /// Speed of its clock in parts per 100 of real time.
+    speed: u64,
+    paused_until: Micros,
+    busy: bool,
+    /// Limits in force and the number of their value.
+    limits: [(u64, u32); 2],
+    /// Fleet in force: number of the value and since when.
+    fleet: (u64, Micros),
+    inbox: Vec<Message>,
+}
+
+#[derive(Debug)]
+struct Running {
+    daemon: usize,
+    key: usize,
+    units: u32,
+    start: Micros,
+    end: Micros,
+    hold: Option<Hold>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Network {
+    lost: f64,
+    doubled: f64,
+    /// Longest delay in most cases; one message in twenty is up to 3 s late.
+    delay: Micros,
+}
+
+/// Several ledgers in one virtual real time.
+struct Sim {
+    now: Micros,
+    rng: Pcg32,
+    net: Network,
+    daemons: Vec<Daemon>,
+    sent: BinaryHeap<Reverse<(Micros, u64, usize)>>,
+    messages: Vec<Option<Message>>,
+    running: Vec<Running>,
+    /// Bit per daemon; daemons with different bits cannot reach each other.
+    sides: u8,
+    values: u64,
+    limits: [(u64, u32); 2],
+    fleet: (u64, Fleet),
+    /// When each value of a limit was last in force at any daemon.
+    allowed: [BTreeMap<u32, Micros>; 2],
+}
+
+impl Sim {
+    fn new(seed: u64, net: Network, speeds: &[u64], limits: [u32; 2]) -> Self {
+        let mut sim = Self {
+            now: 1_000_000,
+            rng: Pcg32::seed_from_u64(seed),
+            net,
+            daemons: Vec::new(),
+            sent: BinaryHeap::new(),
+            messages: Vec::new(),
+            running: Vec::new(),
+            sides: 0,
+            values: 1,
+            limits: limits.map(|l| (1, l)),
+            fleet: (1, fleet(0..speeds.len() as u32)),
+            allowed: Default::default(),
+        };
+        for (d, &speed) in speeds.iter().enumerate() {
+            let daemon = sim.boot(d, 1, speed);
+            sim.daemons.push(daemon);
+        }
+        sim
+    }
+
+    fn boot(&self, d: usize, boot: u64, speed: u64) -> Daemon {
+        let now = Timestamp(self.now * speed / 100);
+        let me = Incarnation { node: NodeId(d as u32), boot: Boot(boot) };
+        let mut ledger = Ledger::new(me, now);
+        ledger.set_fleet(now, &self.fleet.1);
+        for (k, (key, scope)) in LIMITS.clone().into_iter().enumerate() {
+            ledger.set_limit(now, key, Units(self.limits[k].1), scope);
+        }
+        let fleet = (self.fleet.0, self.now);
+        let (limits, inbox) = (self.limits, Vec::new());
+        Daemon { ledger, boot, speed, paused_until: 0, busy: false, limits, fleet, inbox }
+    }
+
+    fn clock(&self, d: usize) -> Timestamp {
+        Timestamp(self.now * self.daemons[d].speed / 100)
+    }
+
+    fn real(&self, d: usize, t: Timestamp) -> Micros {
+        t.0 * 100 / self.daemons[d].speed
+    }
+
+    fn post(&mut self, from: usize, to: NodeId, message: Message) {
+        let to = to.0 as usize;
+        let is_cut = (self.sides >> from ^ self.sides >> to) & 1 == 1;
+        if is_cut || self.rng.random_bool(self.net.lost) {
+            return;
+        }
+        for _ in 0..1 + usize::from(self.rng.random_bool(self.net.doubled)) {
+            let slow = self.net.lost > 0.0 && self.rng.random_bool(0.05);
+            let most = if slow { 3_000_000 } else { self.net.delay };
+            let delay = self.rng.random_range(0..=most);
+            self.deliver_after(delay, to, message.clone());
+        }
+    }
+
+    fn deliver_after(&mut self, delay: Micros, to: usize, message: Message) {
+        self.sent.push(Reverse((self.now + delay, self.messages.len() as u64, to)));
+        self.messages.push(Some(message));
+    }
+
+    /// Publishes a configuration value. Its delivery is late but certain.
+    fn publish(&mut self, message: &Message) {
+        for d in 0..self.daemons.len() {
+            let delay = self.rng.random_range(0..=2_000_000);
+            self.deliver_after(delay, d, message.clone());
+        }
+    }
+
+    fn set_limit(&mut self, k: usize, limit: u32) {
+        self.values += 1;
+        self.limits[k] = (self.values, limit);
+        self.publish(&Message::Limit(self.values, k, limit));
+    }
+
+    fn set_fleet(&mut self, fleet: Fleet) {
+        self.values += 1;
+        self.fleet = (self.values, fleet.clone());
+        self.publish(&Message::Fleet(self.values, fleet));
+    }
+
+    /// First step of a change of the fleet, unless one is under way.
+    fn change_fleet(&mut self, mask: u8) {
+        let nodes: Vec<_> = (0..self.daemons.len() as u32).filter(|n| mask >> n & 1 == 1).collect();
+        let next = fleet(nodes);
+        if !self.fleet.1.previous.is_empty()
+            || next.members.is_empty()
+            || next.members == self.fleet.1.members
+        {
+            return;
+        }
+        let previous = self.fleet.1.members.clone();
+        self.set_fleet(Fleet { previous, ..next });
+    }
+
+    /// Second step, once every daemon of both lists has had the joint value for the life of a loan.
+    fn complete_fleet(&mut self) {
+        let (number, joint) = &self.fleet;
+        let wait = with_drift_margin(LOAN_LIFETIME).as_micros() as u64;
+        let is_ready = |m: &FleetMember| {
+            let (seen, since) = self.daemons[m.node.0 as usize].fleet;
+            seen == *number && self.now >= since + wait
+        };
+        if joint.previous.is_empty() || !joint.members.iter().chain(&joint.previous).all(is_ready) {
+            return;
+        }
+        self.set_fleet(Fleet { members: joint.members.clone(), previous: Vec::new() });
+    }
+
+    /// Ends the process and starts it anew. Its connections are closed, which cancels its requests.
+    fn restart(&mut self, d: usize) {
+        self.running.retain(|r| r.daemon != d);
+        self.daemons[d] = self.boot(d, self.daemons[d].boot + 1, self.daemons[d].speed);
+    }
+
+    fn handle(&mut self, d: usize, message: Message) {
+        let now = self.clock(d);
+        let daemon = &mut self.daemons[d];
+        let ledger = &mut daemon.ledger;
+        match message {
+            Message::Request(req) => {
+                let LoanWant::Limit(key) = &req.want else { unreachable!() };
+                let mut items = vec![LoanItem { key: key.clone(), units: req.units }];
+                if req.renews.is_some() {
+                    items = ledger.renewable(now, &req);
+                }
+                let grant = ledger.lend(now, &req, &items);
+                self.post(d, req.id.borrower.node, Message::Grant(grant));
+            }
+            Message::Grant(grant) => {
+                ledger.on_grant(now, &grant);
+            }
+            Message::Return(ret) => ledger.on_return(now, &ret),
+            Message::Audit(audit) => {
+                let answer = ledger.on_audit(now, &audit);
+                self.post(d, audit.lender.node, Message::Answer(answer));
+            }
+            Message::Answer(answer) => ledger.on_audit_answer(now, &answer),
+            Message::Limit(number, k, limit) if number > daemon.limits[k].0 => {
+                let (key, scope) = LIMITS[k].clone();
+                ledger.set_limit(now, key, Units(limit), scope);
+                daemon.limits[k] = (number, limit);
+            }
+            Message::Fleet(number, fleet) if number > daemon.fleet.0 => {
+                ledger.set_fleet(now, &fleet);
+                daemon.fleet = (number, self.now);
+            }
+            Message::Limit(..) | Message::Fleet(..) => {}
+        }
+    }
+
+    /// What a daemon does on each tick.
+    fn tick(&mut self, d: usize) {
+        let now = self.clock(d);
+        for message in std::mem::take(&mut self.daemons[d].inbox) {
+            self.handle(d, message);
+        }
+        let ledger = &mut self.daemons[d].ledger;
+        ledger.expire(now);
+        for r in self.running.iter_mut().filter(|r| r.daemon == d && r.end <= self.now) {
+            let Some(hold) = r.hold.take() else { continue };
+            ledger.release(now, hold);
+        }
+        let audits = ledger.audits(now).into_iter().map(|(n, a)| (n, Message::Audit(a)));
+        let renewals = ledger.renewals(now).into_iter().map(|r| (r.lender, Message::Request(r)));
+        let returns = ledger.idle_loans(now).into_iter().map(|(n, r)| (n, Message::Return(r)));
+        for (to, message) in audits.chain(renewals).chain(returns) {
+            self.post(d, to, message);
+        }
+        if self.daemons[d].busy {
+            for k in 0..LIMITS.len() {
+                self.work(d, k);
+            }
+        }
+    }
+
+    /// Uses all free units and asks for more.
+    fn work(&mut self, d: usize, k: usize) {
+        let now = self.clock(d);
+        let (key, _) = &LIMITS[k];
+        while self.daemons[d].ledger.free(now, key) > Units::ZERO {
+            let units = self.daemons[d].ledger.free(now, key).0.min(self.rng.random_range(1..=4));
+            let hold = self.daemons[d].ledger.acquire(now, key, Units(units)).unwrap();
+            self.run(d, k, units, hold);
+        }
+        let home = self.daemons[d].ledger.home_set(key).to_vec();
+        if home.is_empty() {
+            return;
+        }
+        let lender = home[self.rng.random_range(0..home.len())];
+        let units = Units(self.rng.random_range(1..=20));
+        let request = self.daemons[d].ledger.borrow(now, lender, LoanWant::Limit(key.clone()), units);
+        if let Some(request) = request {
+            self.post(d, lender, Message::Request(request));
+        }
+    }
+
+    fn run(&mut self, d: usize, k: usize, units: u32, hold: Hold) {
+        let longest = self.real(d, Timestamp::ZERO + MAX_RUN);
+        let mut start = self.now;
+        let mut latest = self.now + longest;
+        if let Some(run_until) = hold.run_until() {
+            // The process may be paused between the check and the dispatch.
+            start += if self.rng.random_bool(0.1) { self.rng.random_range(0..longest) } else { 0 };
+            latest = (start + longest).min(self.real(d, run_until));
+        }
+        let run = if self.rng.random_bool(0.4) { longest } else { self.rng.random_range(1_000..500_000) };
+        let end = (start + run).min(latest);
+        self.running.push(Running { daemon: d, key: k, units, start, end, hold: Some(hold) });
+    }
+
+    fn step(&mut self) -> Result<(), TestCaseError> {
+        self.now += TICK;
+        while self.sent.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+            let Some(Reverse((_, number, to))) = self.sent.pop() else { break };
+            let message = self.messages[number as usize].take().unwrap();
+            self.daemons[to].inbox.push(message);
+        }
+        for d in 0..self.daemons.len() {
+            if self.daemons[d].paused_until <= self.now {
+                self.tick(d);
+            }
+        }
+        self.running.retain(|r| r.hold.is_some());
+        self.complete_fleet();
+        self.check()
+    }
+
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        for k in 0..LIMITS.len() {
+            let allowed = &mut self.allowed[k];
+            allowed.extend(self.daemons.iter().map(|d| (d.limits[k].1, self.now)));
+            allowed.retain(|_, at| *at + RUN_OUT >= self.now);
+            let allowed = *allowed.keys().max().unwrap();
+            let runs = |r: &&Running| r.key == k && r.start <= self.now && self.now < r.end;
+            let in_use: u32 = self.running.iter().filter(runs).map(|r| r.units).sum();
+            prop_assert!(
+                in_use <= allowed,
+                "{in_use} of {allowed} units of limit {k} in use at {}",
+                self.now
+            );
+        }
+        Ok(())
+    }
+
+    fn advance(&mut self, span: Duration) -> Result<(), TestCaseError> {
+        for _ in 0..span.as_micros() as u64 / TICK {
+            self.step()?;
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Advance(u64),
+    Busy(usize, bool),
+    Pause(usize, u64),
+    Restart(usize),
+    Cut(u8),
+    Heal,
+    Limit(usize, u32),
+    Fleet(u8),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let d = 0..7_usize;
+    prop_oneof![
+        12 => (10..1_500_u64).prop_map(Op::Advance),
+        2 => (8_000..14_000_u64).prop_map(Op::Advance),
+        8 => (d.clone(), prop::bool::weighted(0.6)).prop_map(|(d, on)| Op::Busy(d, on)),
+        3 => (d.clone(), 100..16_000_u64).prop_map(|(d, ms)| Op::Pause(d, ms)),
+        4 => d.prop_map(Op::Restart),
+        1 => any::<u8>().prop_map(Op::Cut),
+        2 => Just(Op::Heal),
+        1 => (0..2_usize, 0..60_u32).prop_map(|(k, limit)| Op::Limit(k, limit)),
+        2 => any::<u8>().prop_map(Op::Fleet),
+    ]
+}
+
+fn apply(sim: &mut Sim, op: &Op) -> Result<(), TestCaseError> {
+    let n = sim.daemons.len();
+    match *op {
+        Op::Advance(ms) => sim.advance(Duration::from_millis(ms))?,
+        Op::Busy(d, busy) => sim.daemons[d % n].busy = busy,
+        Op::Pause(d, ms) => sim.daemons[d % n].paused_until = sim.now + ms * 1_000,
+        Op::Restart(d) => sim.restart(d % n),
+        Op::Cut(sides) => sim.sides = sides,
+        Op::Heal => sim.sides = 0,
+        Op::Limit(k, limit) => sim.set_limit(k, limit),
+        Op::Fleet(mask) => sim.change_fleet(mask),
+    }
+    Ok(())
+}
+
+/// `LEDGER_CASES` sets the number of cases, for longer runs.
+fn config() -> ProptestConfig {
+    let seed = RngSeed::Fixed(0x006d_6564_6c61_7273);
+    let cases = std::env::var("LEDGER_CASES").ok().and_then(|s| s.parse().ok()).unwrap_or(100);
+    ProptestConfig { cases, rng_seed: seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against two daemons that use the same units at a time.
+    #[test]
+    fn units_in_use_never_exceed_the_limit(
+        seed: u64,
+        speeds in prop::collection::vec(prop::sample::select(vec![98_u64, 98, 99, 100, 101, 102, 102]), 2..=7),
+        limits in [1..40_u32, 1..80_u32],
+        lost in 0.0..0.4,
+        doubled in 0.0..0.4,
+        delay in 1_000..400_000_u64,
+        ops in prop::collection::vec(op(), 1..100),
+    ) {
+        let mut sim = Sim::new(seed, Network { lost, doubled, delay }, &speeds, limits);
+        for op in &ops {
+            apply(&mut sim, op)?;
+        }
+    }
+}
+
+/// Guards against loans that lapse, are not renewed or leave units reserved: one daemon with work gets nearly all
+/// units of idle daemons for as long as it needs them, and they get them back.
+#[test]
+fn idle_units_can_be_borrowed_and_come_back() {
+    let net = Network { lost: 0.0, doubled: 0.0, delay: 35_000 };
+    let mut sim = Sim::new(7, net, &[98, 102, 98, 102, 100, 102, 98], [24, 70]);
+    sim.daemons[0].busy = true;
+    sim.advance(Duration::from_secs(5)).unwrap();
+    for _ in 0..30 {
+        sim.advance(Duration::from_secs(1)).unwrap();
+        for (k, limit) in [(0, 24), (1, 70)] {
+            let usable = sim.daemons[0].ledger.usable(sim.clock(0), &LIMITS[k].0).0;
+            assert!(usable * 10 >= limit * 9, "{usable} of {limit} units at {}", sim.now);
+        }
+    }
+    sim.daemons[0].busy = false;
+    sim.advance(MAX_RUN + Duration::from_secs(1)).unwrap();
+    for d in 0..7 {
+        for (key, _) in LIMITS.iter() {
+            let ledger = &sim.daemons[d].ledger;
+            assert_eq!(ledger.free(sim.clock(d), key), ledger.share(key), "daemon {d}");
+        }
+    }
+}
+
+/// Ledgers of started daemons.
+fn started(fleet: &Fleet) -> Vec<Ledger> {
+    let ledger = |m: &FleetMember| {
+        let mut ledger = Ledger::new(Incarnation { node: m.node, boot: Boot(1) }, Timestamp::ZERO);
+        ledger.set_fleet(Timestamp::ZERO, fleet);
+        ledger
+    };
+    fleet.members.iter().map(ledger).collect()
+}
+
+const LATER: Timestamp = Timestamp::from_millis(60_000);
+
+/// Guards against shares that do not sum to the limit, and against a raised limit that shrinks a share, which would let
+/// daemons that disagree about the limit exceed it.
+#[test]
+fn shares_sum_to_the_limit_and_grow_with_it() {
+    for nodes in 1..=9 {
+        let mut ledgers = started(&fleet(0..nodes));
+        for (key, scope) in LIMITS.iter() {
+            let mut before = vec![Units::ZERO; ledgers.len()];
+            for limit in 0..=60 {
+                for ledger in &mut ledgers {
+                    ledger.set_limit(LATER, key.clone(), Units(limit), scope.clone());
+                }
+                let shares: Vec<_> = ledgers.iter().map(|l| l.share(key)).collect();
+                assert_eq!(shares.iter().map(|s| s.0).sum::<u32>(), limit, "{key} over {nodes}");
+                assert!(shares.iter().zip(&before).all(|(s, b)| s >= b), "{key}: {before:?} to {shares:?}");
+                before = shares;
+            }
+        }
+    }
+}
+
+/// Guards against slots divided by daemons far from the backend server while near ones exist.
+#[test]
+fn slots_are_divided_near_the_backend_server() {
+    let ledgers = &mut started(&fleet(0..14));
+    let (key, scope) = &LIMITS[0];
+    ledgers[0].set_limit(LATER, key.clone(), Units(6), scope.clone());
+    let home = ledgers[0].home_set(key);
+    let near = |n: &NodeId| member(n.0).domain == "east-0".parse().unwrap();
+    assert_eq!((home.len(), home.iter().filter(|n| near(n)).count()), (HOME_SET_MAX, 4), "{home:?}");
+}
+
+/// Guards against a daemon that stays silent without reason, or spends before its audits are answered.
+#[test]
+fn a_started_daemon_waits_for_its_audits() {
+    let (key, scope) = &LIMITS[1];
+    for (members, free_at) in [(1, 0), (2, 11_600)] {
+        let ledger = &mut started(&fleet(0..members))[0];
+        ledger.set_limit(Timestamp::ZERO, key.clone(), Units(10), scope.clone());
+        let share = ledger.share(key);
+        assert_eq!(ledger.audits(Timestamp::ZERO).len() as u32, members - 1);
+        assert_eq!(ledger.free(Timestamp::from_millis(free_at), key), share);
+        assert!(free_at == 0 || ledger.free(Timestamp::from_millis(free_at - 1), key) == Units::ZERO);
+    }
+}
+
+/// Guards against a grant that outlives the boot of its lender: after the answer to an audit only the new boot counts.
+#[test]
+fn grants_of_earlier_boots_are_refused_after_an_audit() {
+    let (key, scope) = &LIMITS[1];
+    let ledgers = &mut started(&fleet(0..2));
+    for ledger in ledgers.iter_mut() {
+        ledger.set_limit(LATER, key.clone(), Units(10), scope.clone());
+    }
+    let want = LoanWant::Limit(key.clone());
+    let request = ledgers[0].borrow(LATER, NodeId(1), want.clone(), Units(5)).unwrap();
+    assert_eq!(ledgers[0].borrow(LATER, NodeId(1), want, Units(5)), None, "one is outstanding");
+    let grant = ledgers[1].lend(LATER, &request, &[LoanItem { key: key.clone(), units: Units(5) }]);
+    let lender = Incarnation { node: NodeId(1), boot: Boot(2) };
+    assert!(ledgers[0].on_audit(LATER, &LoanAudit { lender }).loans.is_empty());
+    assert!(!ledgers[0].on_grant(LATER, &grant));
+    assert!(ledgers[0].on_grant(LATER, &LoanGrant { lender, ..grant.clone() }));
+    assert!(!ledgers[0].on_grant(LATER, &LoanGrant { lender, ..grant }), "a duplicate");
+}
