--- /dev/null
+++ b/crates/state/tests/config.rs
@@ -0,0 +1,139 @@
+//! Configuration maps take the newest entry of each key and agree after an exchange.
+
+use medlarstair_state::config::{ConfigMap, Entry, Offer};
+use medlarstair_state::id::Revision;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn entry(key: &str, revision: u64, value: &str) -> Entry {
+    let value = (value != "-").then(|| value.into());
+    Entry { key: key.into(), revision: Revision(revision), value }
+}
+
+fn keys<'a>(entries: impl IntoIterator<Item = &'a Entry>) -> Vec<&'a str> {
+    entries.into_iter().map(|entry| &*entry.key).collect()
+}
+
+/// Guards against taking an older entry, losing a tombstone and replacing a value at an equal revision.
+#[test]
+fn offers_follow_the_table() {
+    let mut map = ConfigMap::new();
+    let lines = include_str!("data/config_offers.txt").lines().filter(|line| !line.starts_with('#'));
+    for line in lines {
+        let [key, revision, value, expected, held] = line.split_whitespace().collect::<Vec<_>>()[..] else {
+            panic!("five fields: {line}");
+        };
+        let offer = map.offer(entry(key, revision.parse().unwrap(), value));
+        assert_eq!(format!("{offer:?}").to_lowercase(), expected, "{line}");
+        assert_eq!(map.get(key).unwrap().value.as_deref(), (held != "-").then_some(held), "{line}");
+    }
+    assert_eq!(map.conflicts(), 1);
+    assert_eq!(keys(map.with_prefix("contract/")), ["contract/acme", "contract/acme2"]);
+    assert_eq!(keys(&map.entries_after(Revision(3))), ["contract/acme", "drain/region/oman"]);
+    assert_eq!((map.digest().entries, map.digest().highest), (4, Revision(13)));
+}
+
+/// Guards against an exchange that misses entries below the highest revision, at the size that one map must hold.
+#[test]
+fn ten_thousand_keys_are_exchanged() {
+    let (mut full, mut part) = (ConfigMap::new(), ConfigMap::new());
+    for n in 1..=10_000 {
+        let entry = entry(&format!("contract/c{n}"), n, "{}");
+        if n % 7 != 0 {
+            part.offer(entry.clone());
+        }
+        full.offer(entry);
+    }
+    let missing = full.missing_from(&part.summary());
+    assert_eq!(missing.len(), 10_000 / 7);
+    missing.into_iter().for_each(|entry| assert_eq!(part.offer(entry), Offer::Newer));
+    assert_eq!(part.digest(), full.digest());
+    assert!(full.missing_from(&part.summary()).is_empty());
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// The service writes a key; the named watcher may see it.
+    Write { key: u8, deletes: bool, seen_by: Option<usize> },
+    /// An entry of the past arrives, late, again or from a service restored from a backup.
+    Replay { write: usize, to: usize },
+    /// One map sends what the other lacks; only entries whose bit is set arrive, in reverse order if asked.
+    Exchange { from: usize, to: usize, arrives: u32, reversed: bool },
+}
+
+const MAPS: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..6u8, any::<bool>(), proptest::option::of(0..MAPS))
+            .prop_map(|(key, deletes, seen_by)| Step::Write { key, deletes, seen_by }),
+        (any::<usize>(), 0..MAPS).prop_map(|(write, to)| Step::Replay { write, to }),
+        (0..MAPS, 0..MAPS, any::<u32>(), any::<bool>())
+            .prop_map(|(from, to, arrives, reversed)| Step::Exchange { from, to, arrives, reversed }),
+    ]
+}
+
+fn offer(map: &mut ConfigMap, entry: &Entry) {
+    let before = map.get(&entry.key).map(|held| held.revision);
+    let offer = map.offer(entry.clone());
+    let after = map.get(&entry.key).map(|held| held.revision);
+    assert_eq!(after, before.max(Some(entry.revision)), "a map went back or ignored a newer entry");
+    assert_eq!(offer == Offer::Newer, after > before);
+}
+
+fn check(steps: Vec<Step>) {
+    let mut maps = vec![ConfigMap::new(); MAPS];
+    let mut log: Vec<Entry> = Vec::new();
+    for step in steps {
+        match step {
+            Step::Write { key, deletes, seen_by } => {
+                let revision = log.len() as u64 + 1;
+                let value = if deletes { "-".into() } else { revision.to_string() };
+                log.push(entry(&format!("key/{key}"), revision, &value));
+                seen_by.into_iter().for_each(|map| offer(&mut maps[map], log.last().unwrap()));
+            }
+            Step::Replay { write, to } => {
+                if let Some(entry) = write.checked_rem(log.len()).map(|write| &log[write]) {
+                    offer(&mut maps[to], entry);
+                }
+            }
+            Step::Exchange { from, to, arrives, reversed } => {
+                let mut missing = maps[from].missing_from(&maps[to].summary());
+                if reversed {
+                    missing.reverse();
+                }
+                let arrived = missing.iter().enumerate().filter(|(n, _)| arrives >> (n % 32) & 1 == 1);
+                arrived.for_each(|(_, entry)| offer(&mut maps[to], entry));
+            }
+        }
+    }
+    for round in 0..2 * MAPS {
+        let (from, to) = (round % MAPS, (round + 1) % MAPS);
+        for entry in maps[from].missing_from(&maps[to].summary()) {
+            assert_eq!(maps[to].offer(entry), Offer::Newer);
+        }
+    }
+    for map in &maps[1..] {
+        assert_eq!(map.digest(), maps[0].digest(), "maps that exchanged everything have one digest");
+        assert!(map.iter().eq(maps[0].iter()), "maps that exchanged everything have the same entries");
+        assert_eq!(map.conflicts(), 0);
+    }
+    let mut rebuilt = ConfigMap::new();
+    maps[0].entries_after(Revision(0)).into_iter().rev().for_each(|entry| {
+        rebuilt.offer(entry);
+    });
+    assert_eq!(rebuilt.digest(), maps[0].digest(), "the digest depends on the entries, not on their history");
+}
+
+/// Guards against lost, reordered, repeated and stale entries that leave maps different or take one back.
+#[test]
+fn maps_converge_and_never_go_back() {
+    let cfg = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(cfg, TestRng::from_seed(RngAlgorithm::ChaCha, &[6; 32]));
+    let steps = proptest::collection::vec(step(), 1..60);
+    let run = |steps| {
+        check(steps);
+        Ok(())
+    };
+    runner.run(&steps, run).unwrap();
+}
