Add the operation table

Cause: a request that may not be repeated runs at most once, also across resends, restarts and planned stops. Change: tokens are parsed strictly; the table joins resends, replays answers, refuses when full and hands over to one incarnation of one successor, in parts if needed. Retention is judged by a minute count that never goes back. The customer and the fingerprint belong to an operation, because callers of one minute share a token prefix.

--- a/crates/state/src/operation.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Operations that may not be repeated.
--- /dev/null
+++ b/crates/state/src/operation/token.rs
@@ -0,0 +1,165 @@
+//! Names of operations.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Boot, Customer, Incarnation, NodeId};
+
+/// Longest accepted suffix in bytes.
+pub const SUFFIX_MAX_BYTES: usize = 64;
+
+/// Minutes since the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
+pub struct Minute(pub u32);
+
+impl Minute {
+    /// The minute `minutes` later.
+    pub fn plus(self, minutes: u32) -> Self {
+        Self(self.0.saturating_add(minutes))
+    }
+}
+
+/// Owner and issue minute: the prefix of a token, and the value of a claim in the key-value service.
+///
+/// ```
+/// use medlarstair_state::operation::Issuer;
+/// let issuer: Issuer = "n3-17-29000000".parse().unwrap();
+/// assert_eq!(issuer.to_string(), "n3-17-29000000");
+/// assert!("n3-17-029".parse::<Issuer>().is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[display("{owner}-{issued}")]
+pub struct Issuer {
+    /// Incarnation that owns the operation.
+    pub owner: Incarnation,
+    /// Minute in which the token was issued or the key was claimed.
+    pub issued: Minute,
+}
+
+/// The text is not of the form `n<node>-<boot>-<minute>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("an issuer has the form n<node>-<boot>-<minute>, in decimal without leading zeros")]
+pub struct IssueError;
+
+impl FromStr for Issuer {
+    type Err = IssueError;
+
+    fn from_str(s: &str) -> Result<Self, IssueError> {
+        let mut fields = s.strip_prefix('n').ok_or(IssueError)?.splitn(3, '-');
+        let node = NodeId(decimal(fields.next())?);
+        let boot = Boot(decimal(fields.next())?);
+        let issued = Minute(decimal(fields.next())?);
+        Ok(Self { owner: Incarnation { node, boot }, issued })
+    }
+}
+
+/// Accepts only the form that `Display` writes, so that every token has one spelling.
+fn decimal<T: FromStr>(field: Option<&str>) -> Result<T, IssueError> {
+    let text = field.ok_or(IssueError)?;
+    let canonical = text == "0" || !text.starts_with(['0', '+']);
+    if !canonical {
+        return Err(IssueError);
+    }
+    text.parse().map_err(|_| IssueError)
+}
+
+/// Name of an operation, made of the prefix from a lookup and a suffix chosen by the caller.
+///
+/// ```
+/// use medlarstair_state::operation::Token;
+/// let token: Token = "n3-17-29000000-order-4711".parse().unwrap();
+/// assert_eq!(&*token.suffix, "order-4711");
+/// assert_eq!(token.to_string(), "n3-17-29000000-order-4711");
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+#[display("{owner}-{issued}-{suffix}")]
+pub struct Token {
+    /// Incarnation that issued the prefix and owns the operation.
+    pub owner: Incarnation,
+    /// Minute in which the prefix was issued.
+    pub issued: Minute,
+    /// Chosen by the caller: 1 to [`SUFFIX_MAX_BYTES`] characters of `a-z A-Z 0-9 . _ -`.
+    pub suffix: Box<str>,
+}
+
+/// The text is not a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display(
+    "a token is the prefix from a lookup and 1 to {SUFFIX_MAX_BYTES} characters of a-z, A-Z, 0-9, '.', '_' and '-'"
+)]
+pub struct TokenError;
+
+impl FromStr for Token {
+    type Err = TokenError;
+
+    fn from_str(s: &str) -> Result<Self, TokenError> {
+        let end_of_prefix = s.match_indices('-').nth(2).ok_or(TokenError)?.0;
+        let (prefix, suffix) = (&s[..end_of_prefix], &s[end_of_prefix + 1..]);
+        let Issuer { owner, issued } = prefix.parse().map_err(|_| TokenError)?;
+        let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+        if suffix.is_empty() || suffix.len() > SUFFIX_MAX_BYTES || !suffix.bytes().all(valid) {
+            return Err(TokenError);
+        }
+        Ok(Self { owner, issued, suffix: suffix.into() })
+    }
+}
+
+impl TryFrom<Box<str>> for Token {
+    type Error = TokenError;
+
+    fn try_from(s: Box<str>) -> Result<Self, TokenError> {
+        s.parse()
+    }
+}
+
+impl From<Token> for Box<str> {
+    fn from(token: Token) -> Self {
+        token.to_string().into()
+    }
+}
+
+/// A key of the caller's own that has been claimed in the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The caller's key.
+    pub key: Box<str>,
+    /// The value that the service holds for the claim.
+    pub issuer: Issuer,
+}
+
+/// Identifies one operation in a table.
+///
+/// The customer is part of it because all callers that look up in the same minute get the same prefix, and two
+/// customers may choose the same suffix.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OperationKey {
+    /// Owner and issue minute.
+    pub issuer: Issuer,
+    /// The customer that sent the request.
+    pub customer: Customer,
+    /// Whether `name` is a claimed key instead of the suffix of a token.
+    pub claimed: bool,
+    /// Suffix of the token or claimed key.
+    pub name: Box<str>,
+}
+
+impl OperationKey {
+    /// The key of the operation that `token` names.
+    pub fn of_token(customer: &Customer, token: &Token) -> Self {
+        let issuer = Issuer { owner: token.owner, issued: token.issued };
+        Self { issuer, customer: customer.clone(), claimed: false, name: token.suffix.clone() }
+    }
+
+    /// The key of the operation that `claim` names.
+    pub fn of_claim(customer: &Customer, claim: &Claim) -> Self {
+        Self { issuer: claim.issuer, customer: customer.clone(), claimed: true, name: claim.key.clone() }
+    }
+
+    /// Bytes of its texts.
+    pub(super) fn text_bytes(&self) -> usize {
+        self.customer.as_str().len() + self.name.len()
+    }
+}
--- /dev/null
+++ b/crates/state/tests/operation.rs
@@ -0,0 +1,464 @@
+//! An operation runs at most once, and is reported as not run only if it was not run.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use medlarstair_state::id::{Boot, Fingerprint, Incarnation, NodeId, RequestId};
+use medlarstair_state::operation::*;
+use medlarstair_state::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const START: u32 = 29_000_000;
+const CFG: OperationConfig = OperationConfig { max_entries: 4, max_bytes: 1 << 20, max_answer_bytes: 24 };
+
+fn inc(node: u32, boot: u64) -> Incarnation {
+    Incarnation { node: NodeId(node), boot: Boot(boot) }
+}
+
+fn req(id: u64, customer: &str) -> OperationRequest {
+    OperationRequest { id: RequestId(id), customer: customer.parse().unwrap(), fingerprint: Fingerprint(7) }
+}
+
+fn answer(body: &str) -> RecordedAnswer {
+    RecordedAnswer { status: 200, content_type: "text/plain".into(), body: body.into(), omitted: false }
+}
+
+fn answered(body: &str) -> OperationEnd {
+    OperationEnd::Answered(answer(body))
+}
+
+fn minutes(n: u32) -> Timestamp {
+    Timestamp::ZERO + Duration::from_secs(60) * n
+}
+
+/// A table with the wall clock at [`START`] plus `at` minutes.
+struct Table {
+    inner: OperationTable,
+    at: u32,
+}
+
+impl Table {
+    fn new(me: Incarnation, cfg: OperationConfig) -> Self {
+        Self { inner: OperationTable::new(me, cfg), at: 0 }
+    }
+
+    fn token(&self, suffix: &str) -> Token {
+        format!("{}{suffix}", self.inner.prefix(Minute(START + self.at))).parse().unwrap()
+    }
+
+    fn begin(&mut self, token: &Token, id: u64) -> Begin {
+        self.inner.begin(minutes(self.at), Minute(START + self.at), token, &req(id, "acme"))
+    }
+
+    fn finish(&mut self, id: u64, end: OperationEnd) -> Vec<RequestId> {
+        self.inner.finish(minutes(self.at), RequestId(id), end)
+    }
+
+    fn export(&mut self, successor: Incarnation) -> Option<HandoverTable> {
+        self.inner.export(minutes(self.at), Minute(START + self.at), successor)
+    }
+
+    fn import(&mut self, table: &HandoverTable) -> Result<Imported, ImportError> {
+        self.inner.import(minutes(self.at), table.clone())
+    }
+}
+
+/// Guards against a second spelling of a token and against unbounded or unprintable suffixes.
+#[test]
+fn tokens_are_parsed_strictly() {
+    for line in include_str!("data/operation_tokens.txt").lines().filter(|line| !line.starts_with('#')) {
+        let (expected, text) = line.split_once(' ').unwrap();
+        let token = text.parse::<Token>();
+        assert_eq!(token.is_ok(), expected == "ok", "{text:?}");
+        if let Ok(token) = token {
+            assert_eq!(token.to_string(), text);
+        }
+    }
+}
+
+/// Guards against a second run of a resend, a lost joiner, an answer for another customer or another request, and a
+/// "not run" end that blocks the resend.
+#[test]
+fn resends_join_then_get_the_answer() {
+    let mut table = Table::new(inc(1, 1), CFG);
+    let token = table.token("a");
+    assert_eq!(table.begin(&token, 1), Begin::Run);
+    assert_eq!(table.finish(1, OperationEnd::NotRun), []);
+    assert_eq!((table.inner.entries(), table.inner.bytes()), (0, 0));
+    assert_eq!(table.begin(&token, 2), Begin::Run);
+    for id in [3, 4, 5] {
+        assert_eq!(table.begin(&token, id), Begin::Join);
+    }
+    table.inner.leave(RequestId(4));
+    table.inner.leave(RequestId(2));
+    assert_eq!(table.finish(3, answered("not the runner")), []);
+    assert_eq!(table.finish(2, answered("done")), [RequestId(3), RequestId(5)]);
+    assert_eq!(table.finish(2, answered("again")), []);
+    assert_eq!(table.begin(&token, 6), Begin::Answer(answer("done")));
+    let minute = Minute(START);
+    let other = OperationRequest { fingerprint: Fingerprint(8), ..req(7, "acme") };
+    let refused = Begin::Refused(RefusedReason::NameInUse);
+    assert_eq!(table.inner.begin(Timestamp::ZERO, minute, &token, &other), refused);
+    assert_eq!(table.inner.begin(Timestamp::ZERO, minute, &token, &req(8, "other")), Begin::Run);
+    let claim = Claim { key: "a".into(), issuer: table.inner.issuer(minute) };
+    let claimed = |table: &mut Table, id| {
+        table.inner.begin_claimed(minutes(table.at), Minute(START + table.at), &claim, &req(id, "acme"))
+    };
+    assert_eq!(claimed(&mut table, 9), Begin::Run);
+    assert_eq!(claimed(&mut table, 10), Begin::Join);
+    assert_eq!(table.finish(9, OperationEnd::Unknown), [RequestId(10)]);
+    assert_eq!(claimed(&mut table, 11), Begin::Unknown(UnknownReason::AttemptLost));
+    table.at = RETENTION_MINUTES;
+    table.inner.expire(minutes(table.at));
+    assert_eq!(claimed(&mut table, 12), Begin::Unknown(UnknownReason::Expired));
+}
+
+/// Guards against dropping an entry within its retention, unbounded memory, and a clock set back that makes a
+/// forgotten operation look fresh or new ones look old.
+#[test]
+fn a_full_table_refuses_and_the_retention_never_goes_back() {
+    let mut table = Table::new(inc(1, 1), CFG);
+    let tokens: Vec<Token> = (0..5).map(|n| table.token(&n.to_string())).collect();
+    for (id, token) in (0..4).zip(&tokens) {
+        assert_eq!(table.begin(token, id), Begin::Run);
+        table.finish(id, answered(if id == 0 { "longer than the bound" } else { "short" }));
+    }
+    let omitted = RecordedAnswer { content_type: "".into(), body: Vec::new(), omitted: true, ..answer("") };
+    assert_eq!(table.begin(&tokens[0], 9), Begin::Answer(omitted));
+    assert_eq!(table.begin(&tokens[4], 9), Begin::Refused(RefusedReason::TableFull));
+    let mut small = Table::new(inc(1, 1), OperationConfig { max_bytes: table.inner.bytes(), ..CFG });
+    let begun = tokens.iter().zip(0..).filter(|(token, id)| small.begin(token, *id) == Begin::Run).count();
+    assert!(begun == 3 && small.inner.bytes() <= table.inner.bytes(), "running operations reserve bytes");
+
+    table.at = RETENTION_MINUTES - 1;
+    table.inner.expire(minutes(table.at));
+    assert_eq!(table.begin(&tokens[1], 9), Begin::Answer(answer("short")));
+    assert_eq!(table.begin(&tokens[4], 9), Begin::Refused(RefusedReason::TableFull));
+    let now = minutes(RETENTION_MINUTES);
+    table.inner.expire(now);
+    assert_eq!((table.inner.entries(), table.inner.bytes()), (0, 0));
+    let set_back = Minute(START - 60);
+    let expired = Begin::Unknown(UnknownReason::Expired);
+    assert_eq!(table.inner.begin(now, set_back, &tokens[1], &req(9, "acme")), expired);
+    let fresh = format!("{}x", table.inner.prefix(set_back)).parse().unwrap();
+    assert_eq!(table.inner.begin(now, set_back, &fresh, &req(9, "acme")), Begin::Run);
+    let forged = Token { issued: Minute(START + 1_000), ..fresh };
+    let refused = Begin::Refused(RefusedReason::NotIssued);
+    assert_eq!(table.inner.begin(now, set_back, &forged, &req(10, "acme")), refused);
+}
+
+/// Guards against a run at the old owner after the export, at a second successor, at a later boot of the successor,
+/// or before all parts have arrived; and against a running operation that is exported as finished.
+#[test]
+fn a_handover_names_one_successor() {
+    let (old, new, third) = (inc(1, 1), inc(2, 1), inc(3, 1));
+    let mut owner = Table::new(old, CFG);
+    let mut successor = Table::new(new, CFG);
+    let [done, running, unlisted] = ["done", "running", "unlisted"].map(|suffix| owner.token(suffix));
+    assert_eq!(owner.begin(&done, 1), Begin::Run);
+    owner.finish(1, answered("done"));
+    assert_eq!(owner.begin(&running, 2), Begin::Run);
+    let forward = |node| Begin::NotOwner { owner: old, forward_to: NodeId(node) };
+    assert_eq!(successor.begin(&unlisted, 1), forward(1));
+    owner.inner.stop();
+    assert_eq!(owner.begin(&unlisted, 3), Begin::Refused(RefusedReason::Leaving));
+
+    let table = owner.export(new).unwrap();
+    assert_eq!(owner.export(third), None);
+    assert_eq!(owner.begin(&unlisted, 3), Begin::Unknown(UnknownReason::HandedOver));
+    assert_eq!(owner.begin(&running, 3), Begin::Join);
+    let mut other = Table::new(third, CFG);
+    assert_eq!(other.import(&table), Err(ImportError::OtherSuccessor));
+    assert_eq!(Table::new(inc(2, 2), CFG).import(&table), Err(ImportError::OtherSuccessor));
+    let full = OperationConfig { max_entries: 1, ..CFG };
+    assert_eq!(Table::new(new, full).import(&table), Err(ImportError::Full));
+
+    let parts = table.clone().split(1);
+    assert_eq!(parts.len(), 2);
+    assert_eq!(successor.import(&parts[1]), Ok(Imported::Partial));
+    assert_eq!(successor.import(&parts[1]), Ok(Imported::Partial));
+    assert_eq!(successor.begin(&unlisted, 1), forward(1));
+    assert_eq!(successor.import(&parts[0]), Ok(Imported::Complete));
+    owner.inner.set_successor(old, NodeId(2));
+    other.inner.set_successor(old, NodeId(2));
+    assert_eq!((owner.begin(&unlisted, 3), other.begin(&done, 1)), (forward(2), forward(2)));
+    assert_eq!(other.inner.successor(old), Some(NodeId(2)));
+
+    assert_eq!(successor.begin(&done, 1), Begin::Answer(answer("done")));
+    assert_eq!(successor.begin(&running, 1), Begin::Unknown(UnknownReason::AttemptLost));
+    assert_eq!(successor.begin(&unlisted, 1), Begin::Run);
+    let entries = successor.inner.entries();
+    assert_eq!(successor.import(&table), Ok(Imported::Complete));
+    assert_eq!((successor.inner.entries(), successor.begin(&unlisted, 2)), (entries, Begin::Join));
+
+    // The tables move on together; a restarted successor knows nothing of either owner.
+    let chained = successor.export(third).unwrap();
+    assert_eq!(other.import(&chained), Ok(Imported::Complete));
+    assert_eq!(other.begin(&unlisted, 1), Begin::Unknown(UnknownReason::AttemptLost));
+    assert_eq!(successor.import(&table), Err(ImportError::Leaving));
+    let mut restarted = Table::new(inc(2, 2), CFG);
+    restarted.inner.set_successor(old, NodeId(2));
+    let ended = Begin::Unknown(UnknownReason::OwnerEnded);
+    assert_eq!(
+        (restarted.begin(&done, 1), restarted.begin(&successor.token("x"), 2)),
+        (ended.clone(), ended)
+    );
+    other.at = RETENTION_MINUTES;
+    assert_eq!(other.begin(&unlisted, 3), Begin::Unknown(UnknownReason::Expired));
+}
+
+const DAEMONS: usize = 3;
+const TOKENS: usize = 6;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Issue {
+        at: usize,
+    },
+    Send {
+        token: usize,
+        via: usize,
+    },
+    Finish {
+        attempt: usize,
+        end: u8,
+    },
+    Restart {
+        at: usize,
+    },
+    Advance {
+        minutes: u32,
+    },
+    SetClock {
+        at: usize,
+        ahead: u32,
+    },
+    Expire {
+        at: usize,
+    },
+    Stop {
+        at: usize,
+    },
+    Export {
+        at: usize,
+        to: usize,
+        part_bytes: usize,
+    },
+    /// A part of a table arrives, perhaps late or again, and perhaps at the wrong daemon.
+    Deliver {
+        part: usize,
+        to: Option<usize>,
+        notified: [bool; DAEMONS],
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    use Step::*;
+    let at = || 0..DAEMONS;
+    prop_oneof![
+        2 => at().prop_map(|at| Issue { at }),
+        8 => (0..TOKENS, at()).prop_map(|(token, via)| Send { token, via }),
+        4 => (any::<usize>(), 0..3u8).prop_map(|(attempt, end)| Finish { attempt, end }),
+        1 => at().prop_map(|at| Restart { at }),
+        1 => (1..5u32).prop_map(|minutes| Advance { minutes }),
+        1 => (at(), 0..8u32).prop_map(|(at, ahead)| SetClock { at, ahead }),
+        1 => at().prop_map(|at| Expire { at }),
+        1 => at().prop_map(|at| Stop { at }),
+        2 => (at(), at(), 1..2_000usize).prop_map(|(at, to, part_bytes)| Export { at, to, part_bytes }),
+        4 => (any::<usize>(), proptest::option::weighted(0.2, at()), any::<[bool; DAEMONS]>())
+            .prop_map(|(part, to, notified)| Deliver { part, to, notified }),
+    ]
+}
+
+struct Daemon {
+    me: Incarnation,
+    table: OperationTable,
+    ahead: u32,
+}
+
+struct Attempt {
+    daemon: usize,
+    request: RequestId,
+    token: usize,
+    joined: Vec<RequestId>,
+}
+
+#[derive(Clone, Default)]
+struct Oracle {
+    /// An attempt has begun and was not reported as not run.
+    may_have_run: bool,
+    answer: Option<RecordedAnswer>,
+}
+
+#[derive(Default)]
+struct Seen {
+    runs: Cell<u32>,
+    successor_runs: Cell<u32>,
+    answers: Cell<u32>,
+    refused: Cell<u32>,
+}
+
+fn count(cell: &Cell<u32>) {
+    cell.set(cell.get() + 1);
+}
+
+struct World<'a> {
+    seen: &'a Seen,
+    daemons: Vec<Daemon>,
+    tokens: Vec<(Token, Oracle)>,
+    attempts: Vec<Attempt>,
+    parts: Vec<HandoverTable>,
+    now: Timestamp,
+    requests: u64,
+}
+
+impl World<'_> {
+    fn minute(&self, at: usize) -> Minute {
+        let passed = self.now.since(Timestamp::ZERO).as_secs() / 60;
+        Minute(START + passed as u32 + self.daemons[at].ahead)
+    }
+
+    fn send(&mut self, token: usize, via: usize) {
+        let Some((name, oracle)) = self.tokens.get(token).cloned() else {
+            return;
+        };
+        self.requests += 1;
+        let req = req(self.requests, "acme");
+        let mut daemon = via;
+        for _ in 0..3 {
+            let minute = self.minute(daemon);
+            let begin = self.daemons[daemon].table.begin(self.now, minute, &name, &req);
+            match begin {
+                Begin::NotOwner { forward_to, .. } => {
+                    daemon = forward_to.0 as usize;
+                    continue;
+                }
+                Begin::Run => {
+                    assert!(!oracle.may_have_run, "{name} runs a second time, at daemon {daemon}");
+                    self.tokens[token].1.may_have_run = true;
+                    self.attempts.push(Attempt { daemon, request: req.id, token, joined: Vec::new() });
+                    count(&self.seen.runs);
+                    if name.owner != self.daemons[daemon].me {
+                        count(&self.seen.successor_runs);
+                    }
+                }
+                Begin::Join => {
+                    let running = |attempt: &&mut Attempt| attempt.daemon == daemon && attempt.token == token;
+                    let attempt = self.attempts.iter_mut().find(running).expect("joined a running attempt");
+                    attempt.joined.push(req.id);
+                }
+                Begin::Answer(answer) => {
+                    assert_eq!(Some(answer), oracle.answer, "{name} got another answer");
+                    count(&self.seen.answers);
+                }
+                Begin::Unknown(_) => {}
+                Begin::Refused(reason) => {
+                    assert!(
+                        !oracle.may_have_run,
+                        "{name} is reported as not run ({reason:?}) but may have run"
+                    );
+                    count(&self.seen.refused);
+                }
+            }
+            return;
+        }
+    }
+
+    fn finish(&mut self, attempt: usize, end: u8) {
+        let Some(attempt) = attempt.checked_rem(self.attempts.len()) else {
+            return;
+        };
+        let attempt = self.attempts.swap_remove(attempt);
+        let oracle = &mut self.tokens[attempt.token].1;
+        let end = match end {
+            0 => {
+                oracle.answer = Some(answer(&attempt.request.to_string()));
+                OperationEnd::Answered(oracle.answer.clone().unwrap())
+            }
+            1 => {
+                oracle.may_have_run = false;
+                OperationEnd::NotRun
+            }
+            _ => OperationEnd::Unknown,
+        };
+        let joined = self.daemons[attempt.daemon].table.finish(self.now, attempt.request, end);
+        assert_eq!(joined, attempt.joined, "every request that joined gets the answer");
+    }
+
+    fn deliver(&mut self, part: usize, to: Option<usize>, notified: [bool; DAEMONS]) {
+        let Some(part) = part.checked_rem(self.parts.len()).map(|part| self.parts[part].clone()) else {
+            return;
+        };
+        let to = to.unwrap_or(part.successor.node.0 as usize);
+        let owner = part.owner;
+        if self.daemons[to].table.import(self.now, part) != Ok(Imported::Complete) {
+            return;
+        }
+        let told = self.daemons.iter_mut().zip(notified).filter(|(_, notified)| *notified);
+        told.for_each(|(daemon, _)| daemon.table.set_successor(owner, NodeId(to as u32)));
+    }
+
+    fn step(&mut self, step: Step) {
+        let now = self.now;
+        match step {
+            Step::Issue { at } if self.tokens.len() < TOKENS => {
+                let prefix = self.daemons[at].table.prefix(self.minute(at));
+                let token = format!("{prefix}{}", self.tokens.len()).parse().unwrap();
+                self.tokens.push((token, Oracle::default()));
+            }
+            Step::Issue { .. } => {}
+            Step::Send { token, via } => self.send(token, via),
+            Step::Finish { attempt, end } => self.finish(attempt, end),
+            Step::Restart { at } => {
+                let me = inc(at as u32, self.daemons[at].me.boot.0 + 1);
+                self.daemons[at].me = me;
+                self.daemons[at].table = OperationTable::new(me, CFG);
+                self.attempts.retain(|attempt| attempt.daemon != at);
+            }
+            Step::Advance { minutes } => self.now = now + Duration::from_secs(60) * minutes,
+            Step::SetClock { at, ahead } => self.daemons[at].ahead = ahead,
+            Step::Expire { at } => self.daemons[at].table.expire(now),
+            Step::Stop { at } => self.daemons[at].table.stop(),
+            Step::Export { at, to, part_bytes } => {
+                let (minute, successor) = (self.minute(at), self.daemons[to].me);
+                let table = self.daemons[at].table.export(now, minute, successor);
+                self.parts.extend(table.into_iter().flat_map(|table| table.split(part_bytes)));
+            }
+            Step::Deliver { part, to, notified } => self.deliver(part, to, notified),
+        }
+    }
+}
+
+/// Guards against a second run and a false "not run" under resends through other daemons, restarts, clocks that are
+/// set forwards and back, expiry, full tables, and handovers that are lost, partial, repeated, late or misdelivered.
+#[test]
+fn an_operation_runs_at_most_once() {
+    let seen = Seen::default();
+    let cfg = Config { cases: 4_000, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(cfg, TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]));
+    let run = |steps: Vec<Step>| {
+        let daemon = |node: u32| {
+            let me = inc(node, 1);
+            Daemon { me, table: OperationTable::new(me, CFG), ahead: 0 }
+        };
+        let mut world = World {
+            seen: &seen,
+            daemons: (0..DAEMONS as u32).map(daemon).collect(),
+            tokens: Vec::new(),
+            attempts: Vec::new(),
+            parts: Vec::new(),
+            now: Timestamp::ZERO,
+            requests: 0,
+        };
+        let issue = (0..DAEMONS).map(|at| Step::Issue { at });
+        issue.chain(steps).for_each(|step| world.step(step));
+        Ok(())
+    };
+    runner.run(&proptest::collection::vec(step(), 1..80), run).unwrap();
+    let Seen { runs, successor_runs, answers, refused } = &seen;
+    println!("{runs:?} runs, {successor_runs:?} at successors, {answers:?} answers, {refused:?} refused");
+    for cell in [runs, successor_runs, answers, refused] {
+        assert!(cell.get() > 100, "the schedules reach every outcome");
+    }
+}
