--- a/crates/state/src/quarantine.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Requests that crash backend servers.
