Add stand-ins for the key-value service, the VM list and the backend server

Cause: process tests, the example and the experiments need the platform and the backend servers, with faults, without third-party servers.

Change: library types that run on a shared worker thread and stop with their handle, and the program standin with a subcommand for each. The HTTP server is a small module over httparse and tokio, because truncated bodies and connections closed without an answer need control over the bytes.

--- /dev/null
+++ b/crates/standins/src/bin/standin.rs
@@ -0,0 +1,106 @@
+//! Runs stand-ins as a process. It prints `ready` and the address, and runs until it is ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use argh::FromArgs;
+use medlarstair_standins::{BackendConfig, BackendServer, KvService, VmList, VmListing, Worker};
+use serde::de::DeserializeOwned;
+
+/// Stand-ins for the platform, backend servers and links.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Kv(KvArgs),
+    Vms(VmsArgs),
+    Backend(BackendArgs),
+}
+
+/// key-value service
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "kv")]
+struct KvArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// VM list
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "vms")]
+struct VmsArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// time in ms until a change shows
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+    /// JSON file with the first list
+    #[argh(option)]
+    list: Option<PathBuf>,
+}
+
+/// backend server
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct BackendArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// JSON file with slots, run_ms, cold_ms, cold_factor, restart_ms, connections and connect_ms
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("standin: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: Args) -> io::Result<()> {
+    let worker = Worker::start()?;
+    match args.command {
+        Command::Kv(args) => {
+            let kv = KvService::start(&worker, args.listen)?;
+            serve(&kv.address().to_string())
+        }
+        Command::Vms(args) => {
+            let list: VmListing = read_or_default(args.list)?;
+            let vms = VmList::start(&worker, args.listen, Duration::from_millis(args.lag_ms), list)?;
+            serve(&vms.address().to_string())
+        }
+        Command::Backend(args) => {
+            let config: BackendConfig = read_or_default(args.config)?;
+            let server = BackendServer::start(&worker, args.listen, config)?;
+            serve(&server.address().to_string())
+        }
+    }
+}
+
+fn read_or_default<T: DeserializeOwned + Default>(path: Option<PathBuf>) -> io::Result<T> {
+    let Some(path) = path else { return Ok(T::default()) };
+    serde_json::from_slice(&std::fs::read(path)?).map_err(io::Error::from)
+}
+
+/// Reports the start and keeps the stand-ins running.
+fn serve(address: &str) -> ! {
+    println!("ready {address}");
+    loop {
+        thread::park();
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Stand-ins for what surrounds medlarstair, for process tests, the example and the experiments.
+//!
+//! Each stand-in starts on a [`Worker`] thread, listens on a given or system-chosen address and stops when its
+//! handle is dropped. Faults are set through the handle or over HTTP. The program `standin` has a subcommand for
+//! each.
+//!
+//! ```
+//! use medlarstair_standins::{KvService, Worker};
+//! let worker = Worker::start()?;
+//! let kv = KvService::start(&worker, "127.0.0.1:0".parse().unwrap())?;
+//! kv.put("topology", "{}");
+//! assert_eq!(kv.list("").entries.len(), 1);
+//! # std::io::Result::Ok(())
+//! ```
+
+#![warn(missing_docs)]
+
+mod backend;
+mod http;
+mod kv;
+mod vms;
+mod worker;
+
+pub use backend::{BackendConfig, BackendFaults, BackendServer, BackendStats, Health, Run, RunEnd};
+pub use kv::{KvCalls, KvEntry, KvFaults, KvList, KvService, MAX_VALUE_BYTES};
+pub use vms::{Vm, VmKind, VmList, VmListing, VmState};
+pub use worker::Worker;
