Add the link relay stand-in

Cause: experiments need links between failure domains with delay, shared bandwidth and loss, and tests need to cut them, with every process on loopback.

Change: TCP and UDP fronts that forward over links chosen by the /24 networks of sender and target. The bandwidth of a pair of regions is one token bucket for all its links. A front whose target refuses a connection refuses connections too until the target accepts again, since it has to accept before the target does.

--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use medlarstair_standins::{BackendConfig, BackendServer, KvService, VmList, VmListing, Worker};
+use medlarstair_standins::{
+    BackendConfig, BackendServer, KvService, Relay, RelayConfig, VmList, VmListing, Worker,
+};
 use serde::de::DeserializeOwned;
 
 /// Stand-ins for the platform, backend servers and links.
@@ -24,6 +26,7 @@
     Kv(KvArgs),
     Vms(VmsArgs),
     Backend(BackendArgs),
+    Relay(RelayArgs),
 }
 
 /// key-value service
@@ -62,6 +65,18 @@
     config: Option<PathBuf>,
 }
 
+/// link relay
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct RelayArgs {
+    /// address of the control interface
+    #[argh(option)]
+    listen: SocketAddr,
+    /// JSON file with places, delays, bandwidths, fronts, stall_ms and seed
+    #[argh(option)]
+    config: PathBuf,
+}
+
 fn main() -> ExitCode {
     match run(argh::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -89,6 +104,11 @@
             let server = BackendServer::start(&worker, args.listen, config)?;
             serve(&server.address().to_string())
         }
+        Command::Relay(args) => {
+            let config: RelayConfig = read_or_default(Some(args.config))?;
+            let relay = Relay::start(&worker, args.listen, config)?;
+            serve(&relay.address().to_string())
+        }
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,10 +18,14 @@
 mod backend;
 mod http;
 mod kv;
+mod relay;
 mod vms;
 mod worker;
 
 pub use backend::{BackendConfig, BackendFaults, BackendServer, BackendStats, Health, Run, RunEnd};
 pub use kv::{KvCalls, KvEntry, KvFaults, KvList, KvService, MAX_VALUE_BYTES};
+pub use relay::{
+    Front, LinkBandwidth, LinkChange, LinkDelay, LinkStatus, Place, PlaceSpec, Relay, RelayConfig,
+};
 pub use vms::{Vm, VmKind, VmList, VmListing, VmState};
 pub use worker::Worker;
