Add the deployments at their true sizes

Cause: the example and the experiments run the Consortium and the Authority with all their backend servers, links and initial keys.

The format of the values is in values.rs alone.

Conclusion: 36 backend servers, the platform and 52 fronts share three threads.

--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -9,7 +9,7 @@
 
 use argh::FromArgs;
 use medlarstair_standins::{
-    BackendConfig, BackendServer, KvService, Relay, RelayConfig, VmList, VmListing, Worker,
+    BackendConfig, BackendServer, Deployment, KvService, Relay, RelayConfig, VmList, VmListing, Worker,
 };
 use serde::de::DeserializeOwned;
 
@@ -27,6 +27,7 @@
     Vms(VmsArgs),
     Backend(BackendArgs),
     Relay(RelayArgs),
+    Deployment(DeploymentArgs),
 }
 
 /// key-value service
@@ -77,6 +78,21 @@
     config: PathBuf,
 }
 
+/// every stand-in of a deployment
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "deployment")]
+struct DeploymentArgs {
+    /// consortium or authority
+    #[argh(positional)]
+    name: String,
+    /// folder for deployment.json and the initial keys
+    #[argh(option)]
+    dir: PathBuf,
+    /// second octet of all loopback addresses
+    #[argh(option, default = "11")]
+    block: u8,
+}
+
 fn main() -> ExitCode {
     match run(argh::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -109,6 +125,15 @@
             let relay = Relay::start(&worker, args.listen, config)?;
             serve(&relay.address().to_string())
         }
+        Command::Deployment(args) => {
+            let Some(deployment) = Deployment::named(&args.name, args.block) else {
+                let message = format!("no deployment is called {:?}", args.name);
+                return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+            };
+            deployment.write(&args.dir)?;
+            let running = deployment.start()?;
+            serve(&running.relay.address().to_string())
+        }
     }
 }
 
--- /dev/null
+++ b/crates/standins/src/deployment.rs
@@ -0,0 +1,372 @@
+//! The two deployments of the design page at their true sizes, on loopback addresses.
+//!
+//! A deployment uses one block `127.<block>.0.0/16`, so that deployments with different blocks run side by side.
+//! Each domain, the clients of each region and the platform have a /24 network in it. Everything has a real address,
+//! where it listens, and a front address on the relay, which everybody else uses.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::backend::{BackendConfig, BackendServer};
+use crate::kv::KvService;
+use crate::relay::{Front, LinkBandwidth, LinkDelay, Place, PlaceSpec, Relay, RelayConfig};
+use crate::values;
+use crate::vms::{Vm, VmKind, VmList, VmListing, VmState};
+use crate::worker::Worker;
+
+/// Entry VMs per region, 7 in all.
+const ENTRIES: [usize; 3] = [2, 2, 3];
+const DOMAINS_PER_REGION: usize = 2;
+/// Third octet of the network of the platform.
+const PLATFORM_NETWORK: u8 = 200;
+/// Connections over a cut link are closed after this time (chosen; the design page gives none).
+const STALL_MS: u64 = 5_000;
+/// Lag of the VM list (chosen).
+const VM_LIST_LAG: Duration = Duration::from_secs(5);
+
+/// One listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Where the process listens.
+    pub real: SocketAddr,
+    /// Where others reach it through the relay.
+    pub front: SocketAddr,
+}
+
+impl Endpoint {
+    /// The front has the port of the service, the process listens 10,000 above.
+    fn new(ip: Ipv4Addr, port: u16) -> Self {
+        Self { real: (ip, port + 10_000).into(), front: (ip, port).into() }
+    }
+
+    fn front(self, udp: bool) -> Front {
+        Front { front: self.front, target: self.real, udp }
+    }
+}
+
+/// One entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryPlan {
+    /// Number of its daemon.
+    pub node: u32,
+    /// Name in the VM list.
+    pub name: String,
+    /// Region and failure domain.
+    pub place: Place,
+    /// Address that its daemon binds for outgoing traffic.
+    pub outgoing: IpAddr,
+    /// For callers.
+    pub http: Endpoint,
+    /// For other daemons, TCP and UDP.
+    pub peer: Endpoint,
+}
+
+/// One backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendPlan {
+    /// Name in the VM list and in the service.
+    pub name: String,
+    /// Region and failure domain.
+    pub place: Place,
+    /// HTTP.
+    pub http: Endpoint,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServicePlan {
+    /// Its name.
+    pub name: String,
+    /// Typical run time in ms (chosen).
+    pub typical_run_ms: u64,
+    /// Longest deadline in contracts in ms (chosen).
+    pub max_deadline_ms: u64,
+    /// Its backend servers.
+    pub backends: Vec<BackendPlan>,
+}
+
+/// A deployment with all its addresses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Deployment {
+    /// `consortium` or `authority`.
+    pub name: String,
+    /// Second octet of all addresses.
+    pub block: u8,
+    /// Regions; the platform is in the first.
+    pub regions: Vec<String>,
+    /// One contract each.
+    pub customers: Vec<String>,
+    /// One-way delay between the domains of a region.
+    pub domain_delay_ms: u64,
+    /// One-way delay between regions.
+    pub region_delay_ms: u64,
+    /// One-way delay to clients.
+    pub client_delay_ms: u64,
+    /// Bandwidth from one region to another.
+    pub region_kbit: u64,
+    /// Properties of each backend server; the run time is that of the service.
+    pub backend: BackendConfig,
+    /// Services.
+    pub services: Vec<ServicePlan>,
+    /// Entry VMs.
+    pub entries: Vec<EntryPlan>,
+    /// Key-value service.
+    pub kv: Endpoint,
+    /// VM list.
+    pub vms: Endpoint,
+    /// Control interface of the relay.
+    pub relay: SocketAddr,
+}
+
+/// What differs between the deployments.
+struct Sizes {
+    name: &'static str,
+    regions: [&'static str; 3],
+    customers: [&'static str; 3],
+    region_delay_ms: u64,
+    client_delay_ms: u64,
+    region_kbit: u64,
+    connections: usize,
+    /// Name, backend servers, typical run and longest deadline in ms.
+    services: [(&'static str, usize, u64, u64); 2],
+}
+
+const CONSORTIUM: Sizes = Sizes {
+    name: "consortium",
+    regions: ["muscat", "sohar", "salalah"],
+    customers: ["muscat-wholesale", "sohar-wholesale", "salalah-wholesale"],
+    region_delay_ms: 12,
+    client_delay_ms: 1,
+    region_kbit: 4_000_000,
+    connections: 360,
+    services: [("trade-counter", 20, 40, 2_000), ("catalogue", 12, 120, 10_000)],
+};
+
+const AUTHORITY: Sizes = Sizes {
+    name: "authority",
+    regions: ["south-east", "far-north", "central-west"],
+    customers: ["coastal-rescue", "wildlife-hospitals", "field-stations"],
+    region_delay_ms: 35,
+    client_delay_ms: 3,
+    region_kbit: 280_000,
+    connections: 390,
+    services: [("booking-desk", 20, 40, 2_000), ("archive", 16, 150, 10_000)],
+};
+
+impl Deployment {
+    /// The Consortium.
+    ///
+    /// ```
+    /// let consortium = medlarstair_standins::Deployment::consortium(11);
+    /// assert_eq!((consortium.entries.len(), consortium.slots()), (7, 96));
+    /// ```
+    pub fn consortium(block: u8) -> Self {
+        Self::new(&CONSORTIUM, block)
+    }
+
+    /// The Authority.
+    pub fn authority(block: u8) -> Self {
+        Self::new(&AUTHORITY, block)
+    }
+
+    /// The deployment of that name.
+    pub fn named(name: &str, block: u8) -> Option<Self> {
+        match name {
+            "consortium" => Some(Self::consortium(block)),
+            "authority" => Some(Self::authority(block)),
+            _ => None,
+        }
+    }
+
+    fn new(sizes: &Sizes, block: u8) -> Self {
+        let ip = |network: u8, host: usize| Ipv4Addr::new(127, block, network, host as u8);
+        let domain = |region: usize, domain: usize| Place {
+            region: sizes.regions[region].into(),
+            name: format!("{}-{}", sizes.regions[region], domain + 1),
+        };
+        let mut entries = Vec::new();
+        for (region, count) in ENTRIES.into_iter().enumerate() {
+            for i in 0..count {
+                let node = entries.len() + 1;
+                let vm = ip(domain_network(region, i % DOMAINS_PER_REGION), 10 + node);
+                entries.push(EntryPlan {
+                    node: node as u32,
+                    name: format!("entry-{node}"),
+                    place: domain(region, i % DOMAINS_PER_REGION),
+                    outgoing: vm.into(),
+                    http: Endpoint::new(vm, 8080),
+                    peer: Endpoint::new(vm, 7946),
+                });
+            }
+        }
+        let mut services = Vec::new();
+        for (s, (name, count, typical_run_ms, max_deadline_ms)) in sizes.services.into_iter().enumerate() {
+            let mut backends = Vec::new();
+            for i in 0..count {
+                let (region, d) = (i % 3, i / 3 % DOMAINS_PER_REGION);
+                let vm = ip(domain_network(region, d), 100 + 50 * s + i);
+                backends.push(BackendPlan {
+                    name: format!("{name}-{}", i + 1),
+                    place: domain(region, d),
+                    http: Endpoint::new(vm, 8080),
+                });
+            }
+            services.push(ServicePlan { name: name.into(), typical_run_ms, max_deadline_ms, backends });
+        }
+        let owned = |names: [&str; 3]| names.map(String::from).to_vec();
+        Self {
+            name: sizes.name.into(),
+            block,
+            regions: owned(sizes.regions),
+            customers: owned(sizes.customers),
+            domain_delay_ms: 1,
+            region_delay_ms: sizes.region_delay_ms,
+            client_delay_ms: sizes.client_delay_ms,
+            region_kbit: sizes.region_kbit,
+            backend: BackendConfig {
+                slots: 3,
+                connections: sizes.connections,
+                connect_ms: 1,
+                cold_ms: 2_000,
+                cold_factor: 3,
+                ..BackendConfig::default()
+            },
+            services,
+            entries,
+            kv: Endpoint::new(ip(PLATFORM_NETWORK, 1), 2379),
+            vms: Endpoint::new(ip(PLATFORM_NETWORK, 2), 2380),
+            relay: (ip(PLATFORM_NETWORK, 3), 2381).into(),
+        }
+    }
+
+    /// Slots of all backend servers.
+    pub fn slots(&self) -> u32 {
+        self.backends().count() as u32 * self.backend.slots
+    }
+
+    /// Backend servers of all services.
+    pub fn backends(&self) -> impl Iterator<Item = &BackendPlan> {
+        self.services.iter().flat_map(|service| &service.backends)
+    }
+
+    /// Address that clients of a region bind for outgoing traffic; `None` for an unknown region.
+    pub fn client_ip(&self, region: &str) -> Option<IpAddr> {
+        let place =
+            self.places().into_iter().find(|p| p.place.region == region && p.place.name == "clients")?;
+        let [a, b, c, _] = place.network.octets();
+        Some(Ipv4Addr::new(a, b, c, 1).into())
+    }
+
+    /// Domains `region/region-1` and `region/region-2`, `region/clients` of each region, and the platform.
+    pub fn places(&self) -> Vec<PlaceSpec> {
+        let place = |region: &String, name: String, network: u8| PlaceSpec {
+            place: Place { region: region.clone(), name },
+            network: Ipv4Addr::new(127, self.block, network, 0),
+        };
+        let mut places = vec![place(&self.regions[0], "platform".into(), PLATFORM_NETWORK)];
+        for (r, region) in self.regions.iter().enumerate() {
+            for d in 0..DOMAINS_PER_REGION {
+                places.push(place(region, format!("{region}-{}", d + 1), domain_network(r, d)));
+            }
+            places.push(place(region, "clients".into(), domain_network(r, 8)));
+        }
+        places
+    }
+
+    /// Links and fronts of the relay.
+    pub fn relay_config(&self) -> RelayConfig {
+        let places = self.places();
+        let mut delays = Vec::new();
+        let mut bandwidths = Vec::new();
+        for from in places.iter().map(|p| &p.place) {
+            for to in places.iter().map(|p| &p.place).filter(|to| *to != from) {
+                let to_clients = from.name == "clients" || to.name == "clients";
+                let delay_ms = match (to_clients, from.region == to.region) {
+                    (true, true) => self.client_delay_ms,
+                    (true, false) => self.client_delay_ms + self.region_delay_ms,
+                    (false, true) => self.domain_delay_ms,
+                    (false, false) => self.region_delay_ms,
+                };
+                delays.push(LinkDelay { from: from.clone(), to: to.clone(), delay_ms });
+            }
+        }
+        for from in &self.regions {
+            for to in self.regions.iter().filter(|to| *to != from) {
+                bandwidths.push(LinkBandwidth { from: from.clone(), to: to.clone(), kbit: self.region_kbit });
+            }
+        }
+        let mut fronts = vec![self.kv.front(false), self.vms.front(false)];
+        for entry in &self.entries {
+            fronts.extend([entry.http.front(false), entry.peer.front(true)]);
+        }
+        fronts.extend(self.backends().map(|backend| backend.http.front(false)));
+        RelayConfig { places, delays, bandwidths, fronts, stall_ms: STALL_MS, seed: 1 }
+    }
+
+    /// All VMs, live.
+    pub fn vm_listing(&self) -> VmListing {
+        let vm = |name: &String, kind| Vm { name: name.clone(), kind, state: VmState::Live };
+        let mut vms: Vec<_> = self.entries.iter().map(|entry| vm(&entry.name, VmKind::Entry)).collect();
+        vms.extend(self.backends().map(|backend| vm(&backend.name, VmKind::Backend)));
+        VmListing { vms }
+    }
+
+    /// Writes `deployment.json` (this value) and `kv/<key>.json` for each initial key.
+    pub fn write(&self, dir: &Path) -> io::Result<()> {
+        let mut files = vec![("deployment".to_string(), serde_json::to_value(self)?)];
+        for (key, value) in values::initial(self) {
+            files.push((format!("kv/{key}"), value));
+        }
+        for (name, value) in files {
+            let path = dir.join(format!("{name}.json"));
+            if let Some(parent) = path.parent() {
+                std::fs::create_dir_all(parent)?;
+            }
+            std::fs::write(path, serde_json::to_vec_pretty(&value)?)?;
+        }
+        Ok(())
+    }
+
+    /// Starts every stand-in, with the initial keys in the key-value service. The entry daemons are the caller's.
+    pub fn start(&self) -> io::Result<RunningDeployment> {
+        let (platform, servers, links) = (Worker::start()?, Worker::start()?, Worker::start()?);
+        let kv = KvService::start(&platform, self.kv.real)?;
+        for (key, value) in values::initial(self) {
+            kv.put(&key, &value.to_string());
+        }
+        let vms = VmList::start(&platform, self.vms.real, VM_LIST_LAG, self.vm_listing())?;
+        let mut backends = BTreeMap::new();
+        for service in &self.services {
+            let config = BackendConfig { run_ms: service.typical_run_ms, ..self.backend.clone() };
+            for plan in &service.backends {
+                let server = BackendServer::start(&servers, plan.http.real, config.clone())?;
+                backends.insert(plan.name.clone(), server);
+            }
+        }
+        let relay = Relay::start(&links, self.relay, self.relay_config())?;
+        Ok(RunningDeployment { kv, vms, backends, relay })
+    }
+}
+
+/// The stand-ins of a deployment; dropping it stops them.
+#[derive(Debug)]
+pub struct RunningDeployment {
+    /// Key-value service.
+    pub kv: KvService,
+    /// VM list.
+    pub vms: VmList,
+    /// Backend servers by name.
+    pub backends: BTreeMap<String, BackendServer>,
+    /// Link relay.
+    pub relay: Relay,
+}
+
+/// Third octet of the network of a domain: 11, 12, 21, ...; 19, 29, ... for clients.
+fn domain_network(region: usize, domain: usize) -> u8 {
+    (10 * (region + 1) + domain + 1) as u8
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,13 +16,16 @@
 #![warn(missing_docs)]
 
 mod backend;
+mod deployment;
 mod http;
 mod kv;
 mod relay;
+pub mod values;
 mod vms;
 mod worker;
 
 pub use backend::{BackendConfig, BackendFaults, BackendServer, BackendStats, Health, Run, RunEnd};
+pub use deployment::{BackendPlan, Deployment, Endpoint, EntryPlan, RunningDeployment, ServicePlan};
 pub use kv::{KvCalls, KvEntry, KvFaults, KvList, KvService, MAX_VALUE_BYTES};
 pub use relay::{
     Front, LinkBandwidth, LinkChange, LinkDelay, LinkStatus, Place, PlaceSpec, Relay, RelayConfig,
--- /dev/null
+++ b/crates/standins/src/values.rs
@@ -0,0 +1,94 @@
+//! JSON values of the initial keys, with the field names of the configuration model of the `state` crate.
+//!
+//! Durations are integers in ms (`*_ms`), rates are in requests/s, bandwidth is in kbit/s.
+
+use serde_json::{Value, json};
+
+use crate::deployment::{Deployment, ServicePlan};
+
+/// Change id of everything that a deployment starts with.
+const CHANGE_ID: &str = "initial";
+/// Parts of slot time in percent; the defaults of the design page.
+const STANDARD_FLOOR: u8 = 10;
+const BULK_FLOOR: u8 = 5;
+
+/// All initial keys with their values.
+pub fn initial(deployment: &Deployment) -> Vec<(String, Value)> {
+    let mut values = vec![("topology".into(), topology(deployment)), ("fleet".into(), fleet(deployment))];
+    for customer in &deployment.customers {
+        values.push((format!("contract/{customer}"), contract(deployment, customer)));
+    }
+    for plan in &deployment.services {
+        values.push((format!("service/{}", plan.name), service(deployment, plan)));
+    }
+    values
+}
+
+/// `contract/<customer>`: half the capacity of each service, and a quarter of that between regions (chosen).
+pub fn contract(deployment: &Deployment, customer: &str) -> Value {
+    let mut services = Vec::new();
+    for plan in &deployment.services {
+        let slots = plan.backends.len() as u64 * u64::from(deployment.backend.slots);
+        let rate = slots * 1_000 / plan.typical_run_ms / 2;
+        services.push(json!({
+            "service": plan.name,
+            "rate": rate,
+            "shift_cap": rate / 4,
+            "max_deadline_ms": plan.max_deadline_ms,
+        }));
+    }
+    json!({ "change_id": CHANGE_ID, "customer": customer, "services": services })
+}
+
+/// `service/<name>`. Backend servers are reached through their fronts.
+pub fn service(deployment: &Deployment, plan: &ServicePlan) -> Value {
+    let mut backends = Vec::new();
+    for backend in &plan.backends {
+        backends.push(json!({
+            "name": backend.name,
+            "region": backend.place.region,
+            "domain": backend.place.name,
+            "address": backend.http.front,
+            "slots": deployment.backend.slots,
+        }));
+    }
+    json!({
+        "change_id": CHANGE_ID,
+        "name": plan.name,
+        "standard_floor": STANDARD_FLOOR,
+        "bulk_floor": BULK_FLOOR,
+        "typical_run_ms": plan.typical_run_ms,
+        "backends": backends,
+    })
+}
+
+/// `topology`: every pair of regions.
+pub fn topology(deployment: &Deployment) -> Value {
+    let mut links = Vec::new();
+    for from in &deployment.regions {
+        for to in deployment.regions.iter().filter(|to| *to != from) {
+            links.push(json!({
+                "from": from,
+                "to": to,
+                "bandwidth": deployment.region_kbit,
+                "delay_ms": deployment.region_delay_ms,
+            }));
+        }
+    }
+    json!({ "change_id": CHANGE_ID, "links": links })
+}
+
+/// `fleet`: every entry daemon, reached through its fronts.
+pub fn fleet(deployment: &Deployment) -> Value {
+    let mut members = Vec::new();
+    for entry in &deployment.entries {
+        members.push(json!({
+            "node": entry.node,
+            "region": entry.place.region,
+            "domain": entry.place.name,
+            "peer_address": entry.peer.front,
+            "http_address": entry.http.front,
+        }));
+    }
+    json!({ "change_id": CHANGE_ID, "members": members, "previous": [] })
+}
