--- /dev/null
+++ b/crates/standins/src/bin/standin.rs
@@ -0,0 +1,151 @@
+//! Runs stand-ins as a process. It prints `ready` and the address, and runs until it is ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use argh::FromArgs;
+use medlarstair_standins::{
+    BackendConfig, BackendServer, Deployment, KvService, Relay, RelayConfig, VmList, VmListing, Worker,
+};
+use serde::de::DeserializeOwned;
+
+/// Stand-ins for the platform, backend servers and links.
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Kv(KvArgs),
+    Vms(VmsArgs),
+    Backend(BackendArgs),
+    Relay(RelayArgs),
+    Deployment(DeploymentArgs),
+}
+
+/// key-value service
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "kv")]
+struct KvArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// VM list
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "vms")]
+struct VmsArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// time in ms until a change shows
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+    /// JSON file with the first list
+    #[argh(option)]
+    list: Option<PathBuf>,
+}
+
+/// backend server
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct BackendArgs {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// JSON file with slots, run_ms, cold_ms, cold_factor, restart_ms, connections and connect_ms
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// link relay
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct RelayArgs {
+    /// address of the control interface
+    #[argh(option)]
+    listen: SocketAddr,
+    /// JSON file with places, delays, bandwidths, fronts, stall_ms and seed
+    #[argh(option)]
+    config: PathBuf,
+}
+
+/// every stand-in of a deployment
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "deployment")]
+struct DeploymentArgs {
+    /// consortium or authority
+    #[argh(positional)]
+    name: String,
+    /// folder for deployment.json and the initial keys
+    #[argh(option)]
+    dir: PathBuf,
+    /// second octet of all loopback addresses
+    #[argh(option, default = "11")]
+    block: u8,
+}
+
+fn main() -> ExitCode {
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("standin: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: Args) -> io::Result<()> {
+    let worker = Worker::start()?;
+    match args.command {
+        Command::Kv(args) => {
+            let kv = KvService::start(&worker, args.listen)?;
+            serve(&kv.address().to_string())
+        }
+        Command::Vms(args) => {
+            let list: VmListing = read_or_default(args.list)?;
+            let vms = VmList::start(&worker, args.listen, Duration::from_millis(args.lag_ms), list)?;
+            serve(&vms.address().to_string())
+        }
+        Command::Backend(args) => {
+            let config: BackendConfig = read_or_default(args.config)?;
+            let server = BackendServer::start(&worker, args.listen, config)?;
+            serve(&server.address().to_string())
+        }
+        Command::Relay(args) => {
+            let config: RelayConfig = read_or_default(Some(args.config))?;
+            let relay = Relay::start(&worker, args.listen, config)?;
+            serve(&relay.address().to_string())
+        }
+        Command::Deployment(args) => {
+            let Some(deployment) = Deployment::named(&args.name, args.block) else {
+                let message = format!("no deployment is called {:?}", args.name);
+                return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+            };
+            deployment.write(&args.dir)?;
+            let running = deployment.start()?;
+            serve(&running.relay.address().to_string())
+        }
+    }
+}
+
+fn read_or_default<T: DeserializeOwned + Default>(path: Option<PathBuf>) -> io::Result<T> {
+    let Some(path) = path else { return Ok(T::default()) };
+    serde_json::from_slice(&std::fs::read(path)?).map_err(io::Error::from)
+}
+
+/// Reports the start and keeps the stand-ins running.
+fn serve(address: &str) -> ! {
+    println!("ready {address}");
+    loop {
+        thread::park();
+    }
+}
