--- /dev/null
+++ b/crates/coordination/src/claims.rs
@@ -0,0 +1,72 @@
+//! Claims of callers' own keys in the key-value service.
+//!
+//! A caller that brings only its own key has no owner named in it, so the first daemon to create the key in the
+//! service becomes the owner. The service decides between two daemons that try at the same time.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use medlarstair_state::id::Customer;
+use medlarstair_state::node::ClaimEnd;
+use medlarstair_state::operation::Issuer;
+use medlarstair_transport::kv::{Expect, LeaseId, Store, Written};
+
+/// Lifetime of the leases that claims are written under. Claims must not fill the service, and a key must not be used
+/// for another operation within this time.
+const LEASE_TTL: Duration = Duration::from_secs(2 * 3600);
+
+/// Time for which new claims use the same lease.
+const LEASE_USE: Duration = Duration::from_secs(3600);
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: LeaseId,
+    granted: Instant,
+}
+
+/// Claims keys for one daemon.
+#[derive(Debug)]
+pub struct Claims<S> {
+    store: S,
+    lease: Cell<Option<Lease>>,
+}
+
+impl<S: Store> Claims<S> {
+    /// Claims in `store`.
+    pub fn new(store: S) -> Self {
+        Self { store, lease: Cell::new(None) }
+    }
+
+    /// Claims a key for `issuer`, or tells whose it is.
+    pub async fn claim(&self, customer: &Customer, key: &str, issuer: Issuer) -> ClaimEnd {
+        let Some(lease) = self.lease().await else {
+            return ClaimEnd::Unavailable;
+        };
+        let path = format!("claim/{customer}/{key}");
+        let value = issuer.to_string();
+        match self.store.put(&path, &value, Expect::Absent, Some(lease)).await {
+            Written::Done(_) => ClaimEnd::Owned(issuer),
+            // After a lost answer the key may be ours; the daemon's table tells whether the request has run.
+            Written::Conflict(_) | Written::Unknown => self.read_owner(&path).await,
+            Written::Rejected => ClaimEnd::Unavailable,
+        }
+    }
+
+    async fn read_owner(&self, path: &str) -> ClaimEnd {
+        let Ok(Some(entry)) = self.store.get(path).await else {
+            return ClaimEnd::Unavailable;
+        };
+        let owner = entry.value.as_deref().and_then(|value| value.parse().ok());
+        owner.map_or(ClaimEnd::Unavailable, ClaimEnd::Owned)
+    }
+
+    async fn lease(&self) -> Option<LeaseId> {
+        if let Some(lease) = self.lease.get().filter(|lease| lease.granted.elapsed() < LEASE_USE) {
+            return Some(lease.id);
+        }
+        let granted = Instant::now();
+        let id = self.store.grant_lease(LEASE_TTL).await.ok()?;
+        self.lease.set(Some(Lease { id, granted }));
+        Some(id)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/health.rs
@@ -0,0 +1,135 @@
+//! Polls of backend servers and of the platform's VM list.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use actix::prelude::*;
+use awc::Client;
+use medlarstair_protocol::border::{VmKind, VmList, VmState};
+use medlarstair_state::id::{Backend, NodeId};
+use medlarstair_state::node::{Event, VmView};
+use medlarstair_state::routing::LoadReport;
+use medlarstair_transport::backend::BackendClient;
+
+use crate::engine::{Engine, Feed, GetPolled};
+use crate::timer::{Subscribe, Ticked, TimerService};
+
+/// Period of the health polls. Together with the loan term it stays under the 2 s after which a leaving backend server
+/// gets no new work.
+pub const POLL_PERIOD: Duration = Duration::from_millis(300);
+
+/// Polls of the VM list per health polls.
+const POLLS_PER_VM_LIST: u32 = 3;
+
+/// Time for a request of the VM list.
+const VM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the polls go out with.
+#[derive(Clone)]
+pub struct PollClients {
+    /// For backend servers.
+    pub backends: BackendClient,
+    /// For the VM list.
+    pub platform: Client,
+}
+
+/// Polls backend servers and the VM list.
+pub struct HealthPoller {
+    engine: Addr<Engine>,
+    timer: Addr<TimerService>,
+    clients: PollClients,
+    vms: Option<Box<str>>,
+    polls: u32,
+}
+
+impl HealthPoller {
+    /// A poller that tells `engine` what it learns. `vms` is the address of the VM list.
+    pub fn new(
+        engine: Addr<Engine>,
+        timer: Addr<TimerService>,
+        clients: PollClients,
+        vms: Option<Box<str>>,
+    ) -> Self {
+        Self { engine, timer, clients, vms, polls: 0 }
+    }
+
+    fn poll_backends(&self) {
+        let (engine, client) = (self.engine.clone(), self.clients.backends.clone());
+        actix_rt::spawn(async move {
+            let Ok(polled) = engine.send(GetPolled).await else {
+                return;
+            };
+            for (backend, address) in polled {
+                let (engine, client) = (engine.clone(), client.clone());
+                actix_rt::spawn(async move {
+                    // A server that does not answer keeps its last report, which becomes stale.
+                    let Some(health) = client.health(address).await else {
+                        return;
+                    };
+                    let report = LoadReport {
+                        boot: health.boot,
+                        in_use: health.in_use,
+                        slots: health.slots,
+                        draining: health.draining,
+                        age: Duration::ZERO,
+                    };
+                    engine.do_send(Feed(Event::Report { backend, report }));
+                });
+            }
+        });
+    }
+
+    fn poll_vms(&self) {
+        let Some(url) = self.vms.clone() else {
+            return;
+        };
+        let (engine, client) = (self.engine.clone(), self.clients.platform.clone());
+        actix_rt::spawn(async move {
+            if let Some(list) = fetch_vms(&client, &url).await {
+                engine.do_send(Feed(Event::Vms(vm_view(&list))));
+            }
+        });
+    }
+}
+
+async fn fetch_vms(client: &Client, url: &str) -> Option<VmList> {
+    let mut res = client.get(url).timeout(VM_TIMEOUT).send().await.ok()?;
+    res.json().await.ok()
+}
+
+fn vm_view(list: &VmList) -> VmView {
+    let mut nodes = BTreeSet::<NodeId>::new();
+    let mut leaving = BTreeSet::<Backend>::new();
+    for vm in &list.vms {
+        match vm.kind {
+            VmKind::Entry => {
+                nodes.extend(vm.name.strip_prefix('n').and_then(|node| node.parse::<NodeId>().ok()))
+            }
+            VmKind::Backend if vm.state == VmState::Leaving => {
+                leaving.extend(vm.name.parse::<Backend>().ok())
+            }
+            VmKind::Backend => {}
+        }
+    }
+    VmView { nodes, leaving }
+}
+
+impl Actor for HealthPoller {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        self.timer.do_send(Subscribe { subscriber: cx.address().recipient(), period: POLL_PERIOD });
+    }
+}
+
+impl Handler<Ticked> for HealthPoller {
+    type Result = ();
+
+    fn handle(&mut self, _: Ticked, _: &mut Self::Context) {
+        self.poll_backends();
+        if self.polls.is_multiple_of(POLLS_PER_VM_LIST) {
+            self.poll_vms();
+        }
+        self.polls = self.polls.wrapping_add(1);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/http.rs
@@ -0,0 +1,319 @@
+//! HTTP handlers for callers.
+
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::http::header::{self, HeaderMap};
+use actix_web::http::{StatusCode, Uri};
+use actix_web::web::{self, Bytes, Data};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use medlarstair_protocol::border::LookupEntry as BorderEntry;
+use medlarstair_protocol::border::{LookupAnswer, Outcome as BorderOutcome, RefusalBody};
+use medlarstair_protocol::headers;
+use medlarstair_state::id::{Customer, Fingerprint, Rank, Service};
+use medlarstair_state::model::MAX_RUN;
+use medlarstair_state::node::{Idempotency, LOOKUP_TTL, LookupEntry, Outcome, Reason, Refusal};
+use medlarstair_transport::backend::{BackendRequest, is_end_to_end};
+use rapidhash::v3::rapidhash_v3;
+use serde::Deserialize;
+
+use crate::call::{Answer, Call, Caller};
+use crate::metrics::Metrics;
+use crate::snapshot::Snapshot;
+
+/// Largest body of a request. Requests that may not be repeated travel between daemons in one frame.
+pub const BODY_MAX_BYTES: usize = 1 << 20;
+
+/// Longest idempotency key of a caller.
+const KEY_MAX_BYTES: usize = 64;
+
+/// What a worker shares among its handlers.
+#[derive(Clone)]
+pub struct WorkerState {
+    /// Carries out requests.
+    pub caller: Rc<Caller>,
+    /// What lookups and the status text are answered from.
+    pub snapshot: Snapshot,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+/// Registers the handlers for callers.
+pub fn configure(cfg: &mut web::ServiceConfig) {
+    cfg.app_data(web::PayloadConfig::new(BODY_MAX_BYTES))
+        .route("/v1/lookup", web::get().to(lookup))
+        .route("/v1/call/{customer}/{service}", web::to(call))
+        .route("/v1/call/{customer}/{service}/{path:.*}", web::to(call))
+        .route("/status", web::get().to(status))
+        .route("/metrics", web::get().to(metrics));
+}
+
+#[derive(Debug, Deserialize)]
+struct LookupQuery {
+    customer: Customer,
+    service: Service,
+    client: Option<IpAddr>,
+}
+
+async fn lookup(query: web::Query<LookupQuery>, state: Data<WorkerState>) -> HttpResponse {
+    // The answer is the same for all customers and services today; the names are checked so that callers may rely on
+    // the query's form.
+    let LookupQuery { customer: _customer, service: _service, client } = query.into_inner();
+    state.metrics.on_lookup();
+    let view = state.snapshot.load();
+    let mut entries = view.entries.iter().collect::<Vec<_>>();
+    if let Some(region) = client.and_then(|client| view.blocks.lookup(client)) {
+        entries.sort_by_key(|e| e.region != *region);
+    }
+    let home = entries.first().map(|e| &e.region);
+    let answer = LookupAnswer {
+        entries: entries.iter().map(|e| border_entry(e, Some(&e.region) == home)).collect(),
+        ttl_ms: u32::try_from(LOOKUP_TTL.as_millis()).unwrap_or(u32::MAX),
+        token_prefix: entries.first().map_or_else(String::new, |e| e.token_prefix.to_string()),
+    };
+    respond(view.leaving, StatusCode::OK).json(answer)
+}
+
+fn border_entry(entry: &LookupEntry, is_home: bool) -> BorderEntry {
+    BorderEntry {
+        node: entry.node.0,
+        address: entry.address.to_string(),
+        weight: if is_home { 100 } else { 0 },
+        token_prefix: entry.token_prefix.to_string(),
+    }
+}
+
+async fn status(state: Data<WorkerState>) -> HttpResponse {
+    let view = state.snapshot.load();
+    respond(view.leaving, StatusCode::OK)
+        .content_type("text/plain; charset=utf-8")
+        .body(view.status.to_string())
+}
+
+async fn metrics(state: Data<WorkerState>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(state.metrics.render())
+}
+
+async fn call(req: HttpRequest, body: Bytes, state: Data<WorkerState>) -> HttpResponse {
+    let leaving = state.snapshot.load().leaving;
+    let call = match parse_call(&req, body) {
+        Ok(call) => call,
+        Err(message) => return refusal_response(leaving, MALFORMED, &message),
+    };
+    let caller = Rc::clone(&state.caller);
+    let answer = if call.idempotency == Idempotency::Repeatable {
+        caller.execute(call).await
+    } else {
+        // Runs to its end although the caller may go away, so that a resend finds the answer.
+        match actix_rt::spawn(async move { caller.execute(call).await }).await {
+            Ok(answer) => answer,
+            Err(_) => Answer::Refused(LOST),
+        }
+    };
+    to_response(leaving, answer)
+}
+
+const MALFORMED: Refusal = Refusal { outcome: Outcome::NotRun, reason: Reason::Malformed, retry_after: None };
+
+/// The task of a request ended without an answer, which happens only when the process ends.
+const LOST: Refusal = Refusal { outcome: Outcome::Unknown, reason: Reason::Stopping, retry_after: None };
+
+fn parse_call(req: &HttpRequest, body: Bytes) -> Result<Call, Box<str>> {
+    let customer = req.match_info().query("customer").parse::<Customer>().map_err(|e| e.to_string())?;
+    let service = req.match_info().query("service").parse::<Service>().map_err(|e| e.to_string())?;
+    let path = backend_path(req.uri(), &customer, &service);
+    let head = req.headers();
+    let rank = parse_header::<Rank>(head, headers::RANK)?.unwrap_or(Rank::Standard);
+    let deadline = parse_header::<u32>(head, headers::DEADLINE_MS)?;
+    let deadline = deadline.map_or(MAX_RUN, |ms| Duration::from_millis(ms.into()));
+    let idempotency = parse_idempotency(req, head)?;
+    let fingerprint = fingerprint(&customer, &service, req.method().as_str(), &path, &body);
+    let request = BackendRequest { method: req.method().clone(), path, headers: passed_on(head), body };
+    Ok(Call { customer, service, rank, deadline, idempotency, fingerprint, request, forwarded: false })
+}
+
+/// Path and query at the backend server: what follows customer and service.
+fn backend_path(uri: &Uri, customer: &Customer, service: &Service) -> Box<str> {
+    let prefix = format!("/v1/call/{customer}/{service}");
+    let path = uri.path().strip_prefix(prefix.as_str()).unwrap_or("");
+    let path = if path.starts_with('/') { path } else { "/" };
+    match uri.query() {
+        Some(query) => format!("{path}?{query}").into(),
+        None => path.into(),
+    }
+}
+
+fn header_text<'a>(head: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Box<str>> {
+    let Some(value) = head.get(name) else {
+        return Ok(None);
+    };
+    value.to_str().map(Some).map_err(|_| format!("{name}: not ASCII text").into())
+}
+
+fn parse_header<T: std::str::FromStr<Err: ToString>>(
+    head: &HeaderMap,
+    name: &str,
+) -> Result<Option<T>, Box<str>> {
+    let Some(text) = header_text(head, name)? else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|e: T::Err| format!("{name}: {}", e.to_string()).into())
+}
+
+fn parse_idempotency(req: &HttpRequest, head: &HeaderMap) -> Result<Idempotency, Box<str>> {
+    let repeatable = match header_text(head, headers::REPEATABLE)? {
+        Some("yes") => true,
+        Some("no") => false,
+        Some(_) => return Err(format!("{}: use yes or no", headers::REPEATABLE).into()),
+        None => req.method().is_idempotent(),
+    };
+    if repeatable {
+        return Ok(Idempotency::Repeatable);
+    }
+    if let Some(token) = parse_header(head, headers::TOKEN)? {
+        return Ok(Idempotency::Token(token));
+    }
+    match header_text(head, headers::KEY)? {
+        Some(key) if is_valid_key(key) => Ok(Idempotency::Key(key.into())),
+        Some(_) => Err(format!(
+            "{}: use 1 to {KEY_MAX_BYTES} characters of a-z, A-Z, 0-9, '.', '_' and '-'",
+            headers::KEY
+        )
+        .into()),
+        None => Ok(Idempotency::Missing),
+    }
+}
+
+/// Keys become part of a path at the key-value service.
+fn is_valid_key(key: &str) -> bool {
+    let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    (1..=KEY_MAX_BYTES).contains(&key.len()) && key.bytes().all(valid) && key != "." && key != ".."
+}
+
+/// Headers for the backend server. Those that medlarstair sets itself are left out.
+fn passed_on(head: &HeaderMap) -> HeaderMap {
+    let own = [headers::RANK, headers::DEADLINE_MS, headers::REQUEST_ID, headers::OUTCOME];
+    let mut kept = HeaderMap::new();
+    for (name, value) in head {
+        if is_end_to_end(name) && !own.contains(&name.as_str()) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+fn fingerprint(customer: &Customer, service: &Service, method: &str, path: &str, body: &[u8]) -> Fingerprint {
+    let mut text = Vec::with_capacity(64 + path.len() + body.len());
+    for part in [customer.as_str(), service.as_str(), method, path] {
+        text.extend_from_slice(part.as_bytes());
+        text.push(0);
+    }
+    text.extend_from_slice(body);
+    Fingerprint(rapidhash_v3(&text))
+}
+
+fn respond(leaving: bool, status: StatusCode) -> HttpResponseBuilder {
+    let mut res = HttpResponse::build(status);
+    if leaving {
+        res.force_close();
+    }
+    res
+}
+
+fn to_response(leaving: bool, answer: Answer) -> HttpResponse {
+    match answer {
+        Answer::Backend(head, body) => with_headers(respond(leaving, head.status), &head.headers).body(body),
+        Answer::Streaming(head, stream) => {
+            with_headers(respond(leaving, head.status), &head.headers).streaming(stream)
+        }
+        Answer::Recorded(answer) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+            let mut res = respond(leaving, status);
+            res.insert_header((headers::OUTCOME, "ran")).insert_header((headers::REASON, "recorded"));
+            if !answer.content_type.is_empty() {
+                res.insert_header((header::CONTENT_TYPE, &*answer.content_type));
+            }
+            res.body(answer.body)
+        }
+        Answer::Refused(refusal) => refusal_response(leaving, refusal, reason_text(refusal.reason)),
+    }
+}
+
+fn with_headers(mut res: HttpResponseBuilder, head: &HeaderMap) -> HttpResponseBuilder {
+    for (name, value) in head {
+        res.append_header((name.clone(), value.clone()));
+    }
+    res
+}
+
+fn refusal_response(leaving: bool, refusal: Refusal, message: &str) -> HttpResponse {
+    let mut res = respond(leaving, refusal_status(refusal.reason));
+    res.insert_header((headers::OUTCOME, refusal.outcome.to_string()));
+    res.insert_header((headers::REASON, refusal.reason.to_string()));
+    if let Some(wait) = refusal.retry_after {
+        // The header counts whole seconds; the body is exact.
+        res.insert_header((header::RETRY_AFTER, wait.as_millis().div_ceil(1_000).to_string()));
+    }
+    let outcome = match refusal.outcome {
+        Outcome::NotRun => BorderOutcome::NotRun,
+        Outcome::Unknown => BorderOutcome::Unknown,
+    };
+    res.json(RefusalBody {
+        outcome,
+        reason: refusal.reason.to_string(),
+        message: message.to_owned(),
+        retry_after_ms: refusal.retry_after.map(|wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
+    })
+}
+
+fn refusal_status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Malformed | Reason::TokenRequired | Reason::TokenConflict => StatusCode::BAD_REQUEST,
+        Reason::NoContract => StatusCode::FORBIDDEN,
+        Reason::NoService => StatusCode::NOT_FOUND,
+        Reason::RateLimit | Reason::ClaimBudget => StatusCode::TOO_MANY_REQUESTS,
+        Reason::DeadlineWhileRunning => StatusCode::GATEWAY_TIMEOUT,
+        Reason::OwnerUnreachable
+        | Reason::OwnerRestarted
+        | Reason::TokenExpired
+        | Reason::EarlierAttemptUnknown
+        | Reason::ConnectionBroken => StatusCode::BAD_GATEWAY,
+        Reason::Overloaded
+        | Reason::DeadlineBeforeStart
+        | Reason::ClaimUnavailable
+        | Reason::OperationsFull
+        | Reason::NotConnected
+        | Reason::Shed
+        | Reason::Quarantined
+        | Reason::ArbiterUnreachable
+        | Reason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn reason_text(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Malformed => "the request is not valid",
+        Reason::NoContract => "the customer has no contract for the service",
+        Reason::NoService => "the service has no backend servers",
+        Reason::RateLimit => "the rate of the contract is used up",
+        Reason::Overloaded => "the request could not start in time",
+        Reason::DeadlineBeforeStart => "the deadline passed before the request started",
+        Reason::DeadlineWhileRunning => "the deadline passed while the request ran",
+        Reason::TokenRequired => "a request that may not be repeated needs a token from a lookup or a key",
+        Reason::TokenConflict => "the token was used for another request",
+        Reason::ClaimUnavailable => "the key cannot be claimed because the key-value service does not answer",
+        Reason::ClaimBudget => "the budget of key claims is used up; use a token from a lookup",
+        Reason::OperationsFull => "the operation table is full",
+        Reason::OwnerUnreachable => "the daemon that owns the operation cannot be reached",
+        Reason::OwnerRestarted => "the daemon that owned the operation has restarted",
+        Reason::TokenExpired => "the token is older than answers are kept",
+        Reason::EarlierAttemptUnknown => "an earlier attempt of the operation has an unknown outcome",
+        Reason::ConnectionBroken => "the backend server broke the connection",
+        Reason::NotConnected => "no backend server could be reached",
+        Reason::Shed => "the backend servers refused the request",
+        Reason::Quarantined => "the request has crashed backend servers",
+        Reason::ArbiterUnreachable => "the request is suspected of crashes and cannot be run safely now",
+        Reason::Stopping => "this entry VM is stopping; use another one",
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/log.rs
@@ -0,0 +1,26 @@
+//! The structured log: one JSON object per line on standard output.
+
+use std::io;
+
+use medlarstair_state::id::NodeId;
+use slog::{Drain, Level, LevelFilter, Logger, o};
+
+use crate::settings::LogLevel;
+
+/// Lines that may wait for the writer. Beyond that, lines are dropped and counted, so that a slow reader of the log
+/// never delays a request.
+const QUEUE_LINES: usize = 4_096;
+
+/// A logger that writes without blocking. The log ends with the last copy of the returned guard.
+pub fn logger(node: NodeId, level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::default(io::stdout()).fuse();
+    let (drain, guard) = slog_async::Async::new(json).chan_size(QUEUE_LINES).build_with_guard();
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    let drain = LevelFilter::new(drain.fuse(), level).fuse();
+    (Logger::root(drain, o!("node" => node.0)), guard)
+}
--- /dev/null
+++ b/crates/coordination/src/ops.rs
@@ -0,0 +1,251 @@
+//! HTTP handlers for operators. Every call needs the operator token.
+
+use actix::Addr;
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::http::header;
+use actix_web::middleware::Next;
+use actix_web::web::{self, Data};
+use actix_web::{Error, HttpResponse, error, middleware};
+use medlarstair_protocol::border::{
+    InForceReport, KvEntry, KvList, KvWritten, LimitReport, MemberReport, OpsReport, Timeline,
+};
+use medlarstair_protocol::convert::{CONFIG_PREFIX, parse_value};
+use medlarstair_state::id::Revision;
+use medlarstair_state::membership::Liveness;
+use medlarstair_state::model::{ConfigValue, DrainScope};
+use medlarstair_state::node::Event;
+use medlarstair_transport::backend::BackendClient;
+use medlarstair_transport::kv::{Expect, HttpStore, Store, Written, put_settled};
+use serde::Deserialize;
+
+use crate::drain::{DrainCheck, check_drain};
+use crate::engine::{Engine, Feed, GetOps, GetServices, GetTimeline};
+use crate::settings::OperatorToken;
+use crate::snapshot::Snapshot;
+
+/// Largest value of a configuration key.
+const VALUE_MAX_BYTES: usize = 1 << 20;
+
+/// What the handlers for operators share.
+#[derive(Clone)]
+pub struct OpsState {
+    /// The decision logic.
+    pub engine: Addr<Engine>,
+    /// The view of the decision logic.
+    pub snapshot: Snapshot,
+    /// The key-value service.
+    pub store: HttpStore,
+    /// Asks backend servers for their load.
+    pub backends: BackendClient,
+    /// The token that calls must carry.
+    pub token: OperatorToken,
+}
+
+/// Registers the handlers for operators.
+pub fn configure(cfg: &mut web::ServiceConfig) {
+    let scope = web::scope("/ops")
+        .app_data(web::PayloadConfig::new(VALUE_MAX_BYTES))
+        .wrap(middleware::from_fn(authorize))
+        .route("/report", web::get().to(report))
+        .route("/in-force", web::get().to(in_force))
+        .route("/timeline", web::get().to(timeline))
+        .route("/stop", web::post().to(stop))
+        .route("/config", web::get().to(list_config))
+        .route("/config/{key:.+}", web::get().to(get_config))
+        .route("/config/{key:.+}", web::put().to(put_config))
+        .route("/config/{key:.+}", web::delete().to(delete_config));
+    cfg.service(scope);
+}
+
+async fn authorize(
+    state: Data<OpsState>,
+    req: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, Error> {
+    let given = req.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let token = given.and_then(|v| v.strip_prefix("Bearer "));
+    if !token.is_some_and(|token| state.token.matches(token)) {
+        return Err(error::ErrorUnauthorized("an operator token is needed\n"));
+    }
+    next.call(req).await
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+async fn report(state: Data<OpsState>) -> HttpResponse {
+    let Ok(ops) = state.engine.send(GetOps).await else {
+        return stopping();
+    };
+    let view = state.snapshot.load();
+    let limit = |l: &medlarstair_state::node::LimitView| LimitReport {
+        key: l.key.to_string(),
+        share: l.share.0,
+        usable: l.usable.0,
+        in_use: l.in_use.0,
+    };
+    HttpResponse::Ok().json(OpsReport {
+        node: view.me.node.0,
+        boot: view.me.boot.0,
+        leaving: view.leaving,
+        waiting: count(ops.waiting),
+        running: count(ops.requests.saturating_sub(ops.waiting)),
+        operations: count(ops.operations),
+        limits: ops.limits.iter().map(limit).collect(),
+    })
+}
+
+fn stopping() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("the daemon is stopping\n")
+}
+
+async fn in_force(state: Data<OpsState>) -> HttpResponse {
+    let view = state.snapshot.load();
+    let members = view.members.iter().map(|m| MemberReport {
+        node: m.node.0,
+        domain: m.domain.to_string(),
+        liveness: liveness_text(m.liveness).to_owned(),
+        in_force: m.in_force,
+    });
+    HttpResponse::Ok().json(InForceReport {
+        node: view.me.node.0,
+        highest_revision: view.digest.highest.0,
+        in_force: count(view.members.iter().filter(|m| m.in_force).count()),
+        total: count(view.members.len()),
+        members: members.collect(),
+    })
+}
+
+fn liveness_text(liveness: Liveness) -> &'static str {
+    match liveness {
+        Liveness::Alive => "alive",
+        Liveness::Suspect => "suspect",
+        Liveness::Dead => "dead",
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct TimelineQuery {
+    since_ms: Option<u64>,
+}
+
+async fn timeline(query: web::Query<TimelineQuery>, state: Data<OpsState>) -> HttpResponse {
+    let since_ms = query.since_ms.unwrap_or(0);
+    match state.engine.send(GetTimeline { since_ms }).await {
+        Ok(events) => HttpResponse::Ok().json(Timeline { events }),
+        Err(_) => stopping(),
+    }
+}
+
+async fn stop(state: Data<OpsState>) -> HttpResponse {
+    state.engine.do_send(Feed(Event::Stop));
+    HttpResponse::Accepted().finish()
+}
+
+fn unavailable(e: impl std::fmt::Display) -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body(format!("{e}\n"))
+}
+
+async fn list_config(state: Data<OpsState>) -> HttpResponse {
+    let listing = match state.store.list(CONFIG_PREFIX).await {
+        Ok(listing) => listing,
+        Err(e) => return unavailable(e),
+    };
+    let entry = |e: medlarstair_state::config::Entry| KvEntry {
+        key: e.key.into(),
+        revision: e.revision.0,
+        value: e.value.map(Into::into),
+    };
+    let entries = listing.entries.into_iter().map(entry).collect();
+    HttpResponse::Ok().json(KvList { revision: listing.revision.0, entries })
+}
+
+async fn get_config(key: web::Path<Box<str>>, state: Data<OpsState>) -> HttpResponse {
+    match state.store.get(&format!("{CONFIG_PREFIX}{key}")).await {
+        Ok(Some(entry)) => HttpResponse::Ok().json(KvEntry {
+            key: entry.key.into(),
+            revision: entry.revision.0,
+            value: entry.value.map(Into::into),
+        }),
+        Ok(None) => HttpResponse::NotFound().body("there is no such key\n"),
+        Err(e) => unavailable(e),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct WriteQuery {
+    /// Revision that the key must have; 0 if it must not exist.
+    expect: u64,
+    /// Whether a drain is accepted without a check for headroom.
+    #[serde(default)]
+    force: bool,
+}
+
+async fn put_config(
+    key: web::Path<Box<str>>,
+    query: web::Query<WriteQuery>,
+    value: String,
+    state: Data<OpsState>,
+) -> HttpResponse {
+    let key = format!("{CONFIG_PREFIX}{key}");
+    let parsed = match parse_value(&key, &value) {
+        Ok(Some(parsed)) => parsed,
+        Ok(None) => return HttpResponse::BadRequest().body(format!("{key} is not a configuration key\n")),
+        Err(e) => return HttpResponse::BadRequest().body(format!("{key}: {e}\n")),
+    };
+    if let ConfigValue::Drain(scope) = &parsed
+        && !query.force
+        && let Err(refused) = drain_fits(&state, scope).await
+    {
+        return HttpResponse::Conflict().body(refused);
+    }
+    let expect = match query.expect {
+        0 => Expect::Absent,
+        revision => Expect::Revision(Revision(revision)),
+    };
+    written(put_settled(&state.store, &key, &value, expect).await)
+}
+
+async fn drain_fits(state: &OpsState, scope: &DrainScope) -> Result<(), String> {
+    let Ok(services) = state.engine.send(GetServices).await else {
+        return Err("the daemon is stopping\n".into());
+    };
+    match check_drain(&state.backends, &services, scope).await {
+        DrainCheck::Fits => Ok(()),
+        refused => Err(format!("{refused}\n")),
+    }
+}
+
+async fn delete_config(
+    key: web::Path<Box<str>>,
+    query: web::Query<WriteQuery>,
+    state: Data<OpsState>,
+) -> HttpResponse {
+    let key = format!("{CONFIG_PREFIX}{key}");
+    let expect = Revision(query.expect);
+    match state.store.delete(&key, expect).await {
+        Written::Unknown => match state.store.get(&key).await {
+            // The key is gone, so the deletion or that of another operator took effect.
+            Ok(None) => HttpResponse::Ok().json(KvWritten { revision: expect.0 }),
+            _ => unavailable("the key-value service did not answer; the change may still take effect"),
+        },
+        settled => written(settled),
+    }
+}
+
+fn written(written: Written) -> HttpResponse {
+    match written {
+        Written::Done(revision) => HttpResponse::Ok().json(KvWritten { revision: revision.0 }),
+        Written::Conflict(revision) => {
+            HttpResponse::PreconditionFailed().json(KvWritten { revision: revision.0 })
+        }
+        Written::Rejected => {
+            HttpResponse::BadRequest().body("the key-value service does not accept the value\n")
+        }
+        Written::Unknown => {
+            unavailable("the key-value service did not answer; the change may still take effect")
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/settings.rs
@@ -0,0 +1,351 @@
+//! Settings of a daemon, read from an INI file.
+//!
+//! A file is checked in full: all faults are listed at once with section and key, and unknown keys are refused, since a
+//! misspelt key would otherwise be ignored in silence.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::{fs, io};
+
+use derive_more::{Display, Error};
+use ini::Ini;
+use medlarstair_protocol::key::KeyRing;
+use medlarstair_state::id::{Domain, NodeId, Region};
+
+/// Most threads that serve callers.
+const HTTP_WORKERS_MAX: usize = 64;
+
+/// Shortest accepted operator token in characters.
+const TOKEN_MIN_CHARS: usize = 16;
+
+/// Another daemon that can be asked for the configuration at start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seed {
+    /// Its number.
+    pub node: NodeId,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// The text is not of the form `n<node>@<address>:<port>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a seed has the form n<node>@<address>:<port>")]
+pub struct SeedError;
+
+impl FromStr for Seed {
+    type Err = SeedError;
+
+    fn from_str(s: &str) -> Result<Self, SeedError> {
+        let (node, address) = s.strip_prefix('n').and_then(|s| s.split_once('@')).ok_or(SeedError)?;
+        let node = node.parse().map_err(|_| SeedError)?;
+        Ok(Self { node, address: address.parse().map_err(|_| SeedError)? })
+    }
+}
+
+/// Level of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Faults only.
+    Error,
+    /// Faults and degraded service.
+    Warning,
+    /// All numbered events.
+    Info,
+    /// Details for development.
+    Debug,
+}
+
+/// The text is not a log level.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a log level is one of error, warning, info, debug")]
+pub struct LogLevelError;
+
+impl FromStr for LogLevel {
+    type Err = LogLevelError;
+
+    fn from_str(s: &str) -> Result<Self, LogLevelError> {
+        match s {
+            "error" => Ok(Self::Error),
+            "warning" => Ok(Self::Warning),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            _ => Err(LogLevelError),
+        }
+    }
+}
+
+/// Settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Number of the daemon.
+    pub node: NodeId,
+    /// Its region.
+    pub region: Region,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Where callers and operators connect.
+    pub http: SocketAddr,
+    /// Where other daemons connect (UDP and TCP).
+    pub peer: SocketAddr,
+    /// Source address of connections to backend servers and daemons.
+    pub source: Option<IpAddr>,
+    /// Threads that serve callers.
+    pub http_workers: usize,
+    /// Address of the key-value service.
+    pub store: Box<str>,
+    /// Address of the VM list.
+    pub vms: Option<Box<str>>,
+    /// Daemons to ask for the configuration at start.
+    pub seeds: Vec<Seed>,
+    /// Keys of messages between daemons.
+    pub keys: KeyRing,
+    /// Token of operator calls.
+    pub operator_token: OperatorToken,
+    /// Level of the log.
+    pub log_level: LogLevel,
+    /// File to which the events of the decision logic are recorded.
+    pub trace_file: Option<PathBuf>,
+}
+
+/// Token that operator calls carry.
+#[derive(Clone, PartialEq, Eq)]
+pub struct OperatorToken(Box<str>);
+
+/// Hides the token, so that it never reaches a log.
+impl fmt::Debug for OperatorToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorToken")
+    }
+}
+
+impl OperatorToken {
+    /// Whether `given` is the token. Compares hashes, so that the time does not tell how much of a guess matches.
+    pub fn matches(&self, given: &str) -> bool {
+        blake3::hash(self.0.as_bytes()) == blake3::hash(given.as_bytes())
+    }
+}
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("[{section}] {key}: {problem}")]
+pub struct Fault {
+    section: Box<str>,
+    key: Box<str>,
+    problem: Box<str>,
+}
+
+/// The settings are not valid.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The file is not an INI file.
+    Syntax {
+        /// What is wrong.
+        source: ini::ParseError,
+    },
+    /// Values are missing, wrong or unknown.
+    Faults(#[error(not(source))] Vec<Fault>),
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File { path, source } => write!(f, "cannot read {}: {source}", path.display()),
+            Self::Syntax { source } => write!(f, "not an INI file: {source}"),
+            Self::Faults(faults) => {
+                write!(f, "{} fault(s)", faults.len())?;
+                for fault in faults {
+                    write!(f, "\n  {fault}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file and the key files that it names. Relative paths start at its folder.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault that was found.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text =
+            fs::read_to_string(path).map_err(|source| SettingsError::File { path: path.into(), source })?;
+        Self::parse(&text, path.parent().unwrap_or(Path::new(".")))
+    }
+
+    /// Checks the text of a settings file. `folder` is where relative paths start.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault that was found.
+    pub fn parse(text: &str, folder: &Path) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(text).map_err(|source| SettingsError::Syntax { source })?;
+        let mut reader = Reader::new(&ini, folder);
+        let settings = reader.settings();
+        reader.refuse_unknown();
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(SettingsError::Faults(reader.faults)),
+        }
+    }
+}
+
+struct Reader<'a> {
+    ini: &'a Ini,
+    folder: &'a Path,
+    known: BTreeSet<(&'static str, &'static str)>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    fn new(ini: &'a Ini, folder: &'a Path) -> Self {
+        Self { ini, folder, known: BTreeSet::new(), faults: Vec::new() }
+    }
+
+    fn settings(&mut self) -> Option<Settings> {
+        // Every value is read before any is required, so that all faults are found.
+        let node = self.required("node", "id");
+        let region = self.required("node", "region");
+        let domain = self.required("node", "domain");
+        let http = self.required("listen", "http");
+        let peer = self.required("listen", "peer");
+        let source = self.optional("listen", "source");
+        let http_workers = self.http_workers();
+        let store = self.url("platform", "store");
+        let has_vms = self.ini.get_from(Some("platform"), "vms").is_some();
+        let vms = self.known_key("platform", "vms").is_some().then(|| self.url("platform", "vms")).flatten();
+        let seeds = self.seeds();
+        let keys = self.file("security", "key_file", |text| KeyRing::parse(text).map_err(|e| e.to_string()));
+        let operator_token = self.file("security", "operator_token_file", parse_token);
+        let log_level = self.optional("log", "level").unwrap_or(LogLevel::Info);
+        let trace_file = self.known_key("log", "trace_file").map(|p| self.folder.join(p));
+        if has_vms && vms.is_none() {
+            return None;
+        }
+        Some(Settings {
+            node: node?,
+            region: region?,
+            domain: domain?,
+            http: http?,
+            peer: peer?,
+            source,
+            http_workers,
+            store: store?,
+            vms,
+            seeds,
+            keys: keys?,
+            operator_token: operator_token?,
+            log_level,
+            trace_file,
+        })
+    }
+
+    fn known_key(&mut self, section: &'static str, key: &'static str) -> Option<&'a str> {
+        self.known.insert((section, key));
+        self.ini.get_from(Some(section), key)
+    }
+
+    fn fault(&mut self, section: &str, key: &str, problem: impl ToString) {
+        let problem = problem.to_string().into();
+        self.faults.push(Fault { section: section.into(), key: key.into(), problem });
+    }
+
+    fn optional<T: FromStr<Err: ToString>>(&mut self, section: &'static str, key: &'static str) -> Option<T> {
+        let text = self.known_key(section, key)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.fault(section, key, format!("{text:?}: {}", e.to_string()));
+                None
+            }
+        }
+    }
+
+    fn required<T: FromStr<Err: ToString>>(&mut self, section: &'static str, key: &'static str) -> Option<T> {
+        if self.known_key(section, key).is_none() {
+            self.fault(section, key, "is missing");
+            return None;
+        }
+        self.optional(section, key)
+    }
+
+    fn http_workers(&mut self) -> usize {
+        let workers = self.optional("listen", "http_workers").unwrap_or(2);
+        if !(1..=HTTP_WORKERS_MAX).contains(&workers) {
+            self.fault("listen", "http_workers", format!("must be 1 to {HTTP_WORKERS_MAX}"));
+        }
+        workers
+    }
+
+    fn url(&mut self, section: &'static str, key: &'static str) -> Option<Box<str>> {
+        let text = self.required::<String>(section, key)?;
+        let host = text.strip_prefix("http://").map(|rest| rest.split('/').next().unwrap_or(""));
+        if host.is_none_or(|host| host.parse::<SocketAddr>().is_err()) {
+            self.fault(section, key, format!("{text:?}: use http://<address>:<port>"));
+            return None;
+        }
+        Some(text.into())
+    }
+
+    fn seeds(&mut self) -> Vec<Seed> {
+        let Some(text) = self.known_key("peers", "seeds") else {
+            return Vec::new();
+        };
+        let mut seeds = Vec::new();
+        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.parse() {
+                Ok(seed) => seeds.push(seed),
+                Err(e) => self.fault("peers", "seeds", format!("{part:?}: {e}")),
+            }
+        }
+        seeds
+    }
+
+    fn file<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        parse: impl Fn(&str) -> Result<T, String>,
+    ) -> Option<T> {
+        let path = self.folder.join(self.required::<String>(section, key)?);
+        let parsed = fs::read_to_string(&path).map_err(|e| e.to_string()).and_then(|text| parse(&text));
+        match parsed {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.fault(section, key, format!("{}: {e}", path.display()));
+                None
+            }
+        }
+    }
+
+    fn refuse_unknown(&mut self) {
+        let ini = self.ini;
+        for (section, properties) in ini.iter() {
+            let section = section.unwrap_or("");
+            for (key, _) in properties.iter() {
+                if !self.known.iter().any(|(s, k)| *s == section && *k == key) {
+                    self.fault(section, key, "is not known");
+                }
+            }
+        }
+    }
+}
+
+fn parse_token(text: &str) -> Result<OperatorToken, String> {
+    let token = text.trim();
+    if token.chars().count() < TOKEN_MIN_CHARS || token.contains(char::is_whitespace) {
+        return Err(format!("a token has at least {TOKEN_MIN_CHARS} characters and no spaces"));
+    }
+    Ok(OperatorToken(token.into()))
+}
--- /dev/null
+++ b/crates/coordination/src/streams.rs
@@ -0,0 +1,92 @@
+//! Requests of other daemons over TCP.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Addr;
+use medlarstair_protocol::stream::{ForwardedAnswer, StreamAnswer, StreamRequest};
+use medlarstair_state::id::Incarnation;
+use medlarstair_state::node::{Outcome, Reason, Refusal};
+use medlarstair_transport::stream::{Frames, frames, receive, send};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::call::{Caller, from_peer, to_forwarded};
+use crate::engine::{Engine, MissingFrom, TakeOver};
+use crate::peers::PeerLink;
+
+/// Time within which a daemon that has connected must send its request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Connections of other daemons at a time. Bounds the memory that unauthenticated connections can take.
+const CONNECTIONS_MAX: usize = 512;
+
+/// Serves the requests of other daemons.
+pub struct StreamServer {
+    link: Rc<PeerLink>,
+    engine: Addr<Engine>,
+    caller: Caller,
+}
+
+impl StreamServer {
+    /// A server that hands requests to `engine` and runs forwarded ones with `caller`.
+    pub fn new(link: Rc<PeerLink>, engine: Addr<Engine>, caller: Caller) -> Rc<Self> {
+        Rc::new(Self { link, engine, caller })
+    }
+
+    /// Accepts connections until the process ends.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(CONNECTIONS_MAX));
+        loop {
+            let Ok(permit) = std::sync::Arc::clone(&permits).acquire_owned().await else {
+                return;
+            };
+            let Ok((stream, _)) = listener.accept().await else {
+                // Out of file descriptors, usually; accepting again at once would spin.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let server = Rc::clone(&self);
+            actix_rt::spawn(async move {
+                server.serve(stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut frames: Frames = frames(stream);
+        while let Ok(buf) = receive(&mut frames, REQUEST_TIMEOUT).await {
+            let Ok((from, req)) = self.link.open_request(&buf) else {
+                return;
+            };
+            let answer = self.answer(from, req).await;
+            let Ok(frame) = self.link.seal_answer(from.node, &answer) else {
+                return;
+            };
+            if send(&mut frames, frame).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn answer(&self, from: Incarnation, req: StreamRequest) -> StreamAnswer {
+        match req {
+            StreamRequest::ConfigFetch(summary) => {
+                let missing = self.engine.send(MissingFrom(summary)).await;
+                missing.map_or(StreamAnswer::Refused, StreamAnswer::ConfigEntries)
+            }
+            StreamRequest::Forward(call) => match from_peer(*call) {
+                Some(call) => StreamAnswer::Forwarded(to_forwarded(self.caller.execute(call).await).await),
+                None => StreamAnswer::Forwarded(ForwardedAnswer::Refused(MALFORMED)),
+            },
+            StreamRequest::Handover(table) if table.owner == from => {
+                let taken = self.engine.send(TakeOver(table)).await;
+                if taken.unwrap_or(false) { StreamAnswer::HandoverAck } else { StreamAnswer::Refused }
+            }
+            StreamRequest::Handover(_) => StreamAnswer::Refused,
+        }
+    }
+}
+
+const MALFORMED: Refusal = Refusal { outcome: Outcome::NotRun, reason: Reason::Malformed, retry_after: None };
--- a/crates/protocol/src/border.rs
+++ b/crates/protocol/src/border.rs
@@ -218,6 +218,8 @@
     pub address: ::std::string::String,
     ///Number of its daemon.
     pub node: u32,
+    ///Prefix of operation tokens that this entry VM owns.
+    pub token_prefix: ::std::string::String,
     ///Relative share of requests; 0 means only when all others fail.
     pub weight: u32,
 }
@@ -505,7 +507,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct VmValue {
     pub kind: VmKind,
-    ///Name of the VM: the backend server's name or n<node>.
+    ///Name of the VM: that of its backend server, or `n` and the number of its daemon.
     pub name: ::std::string::String,
     pub state: VmState,
 }
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -6,8 +6,8 @@
 use derive_more::{Display, Error};
 use medlarstair_state::id::{Backend, Domain, NodeId, Region};
 use medlarstair_state::model::{
-    BackendSpec, Contract, DrainScope, Fleet, FleetMember, KbitPerSecond, LinkSpec, MAX_RUN, Percent,
-    RequestsPerSecond, ServiceSpec, ServiceTerms, Slots, Topology,
+    BackendSpec, ConfigValue, Contract, DrainScope, Fleet, FleetMember, KbitPerSecond, LinkSpec, MAX_RUN,
+    Percent, RequestsPerSecond, ServiceSpec, ServiceTerms, Slots, Topology,
 };
 
 use crate::border::{
@@ -32,22 +32,8 @@
 /// Longest accepted contract value list, so that one value cannot exhaust a daemon.
 const MAX_LIST: usize = 10_000;
 
-/// What a configuration key holds.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ConfigValue {
-    /// `contract/<customer>`
-    Contract(Contract),
-    /// `service/<name>`
-    Service(ServiceSpec),
-    /// `topology`
-    Topology(Topology),
-    /// `fleet`
-    Fleet(Fleet),
-    /// `drain/<kind>/<name>`
-    Drain(DrainScope),
-    /// `blocks/<part>`: lines `prefix region`.
-    Blocks(Box<str>),
-}
+/// Prefix of all configuration keys in the key-value service.
+pub const CONFIG_PREFIX: &str = "config/";
 
 /// Parses a value by its key. `Ok(None)` means that the key is not a configuration key.
 ///
@@ -58,11 +44,14 @@
 /// ```
 /// use medlarstair_protocol::convert::parse_value;
 /// let json = r#"{"change_id":"c1","links":[]}"#;
-/// assert!(parse_value("topology", json).unwrap().is_some());
-/// assert!(parse_value("contract/acme", "{}").is_err());
+/// assert!(parse_value("config/topology", json).unwrap().is_some());
+/// assert!(parse_value("config/contract/acme", "{}").is_err());
 /// assert!(parse_value("claim/acme/k1", "x").unwrap().is_none());
 /// ```
 pub fn parse_value(key: &str, value: &str) -> Result<Option<ConfigValue>, ConvertError> {
+    let Some(key) = key.strip_prefix(CONFIG_PREFIX) else {
+        return Ok(None);
+    };
     let (kind, name) = key.split_once('/').unwrap_or((key, ""));
     let value = match kind {
         "contract" => ConfigValue::Contract(named(contract(&json(value)?)?, name, |c| c.customer.as_str())?),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 pub mod key;
 pub mod replay;
+pub mod stream;
 
 #[rustfmt::skip]
 pub mod border;
--- /dev/null
+++ b/crates/protocol/src/stream.rs
@@ -0,0 +1,83 @@
+//! Messages between daemons that travel as frames over TCP.
+
+use medlarstair_state::config::{Entry, KeyRevision};
+use medlarstair_state::id::{Customer, Fingerprint, Rank, Service};
+use medlarstair_state::node::{Idempotency, Refusal};
+use medlarstair_state::operation::{HandoverTable, RecordedAnswer};
+use serde::{Deserialize, Serialize};
+
+/// One HTTP header.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedHeader {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// A request that its owner or arbiter is to run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedCall {
+    /// The customer.
+    pub customer: Customer,
+    /// The service.
+    pub service: Service,
+    /// The rank.
+    pub rank: Rank,
+    /// Remaining time in milliseconds.
+    pub deadline_ms: u32,
+    /// Whether and how it may be sent again.
+    pub idempotency: Idempotency,
+    /// Hash of its content.
+    pub fingerprint: Fingerprint,
+    /// HTTP method.
+    pub method: Box<str>,
+    /// Path and query at the backend server.
+    pub path: Box<str>,
+    /// End-to-end headers.
+    pub headers: Vec<ForwardedHeader>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Answer to a forwarded request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ForwardedAnswer {
+    /// The backend server's answer.
+    Backend {
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<ForwardedHeader>,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// An answer recorded earlier.
+    Recorded(RecordedAnswer),
+    /// No answer of a backend server.
+    Refused(Refusal),
+}
+
+/// A request over a stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum StreamRequest {
+    /// Asks for the configuration entries that are newer than these.
+    ConfigFetch(Vec<KeyRevision>),
+    /// Asks the owner of an operation, or the arbiter of a suspected request, to run it.
+    Forward(Box<ForwardedCall>),
+    /// Hands an operation table over.
+    Handover(HandoverTable),
+}
+
+/// Answer over a stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum StreamAnswer {
+    /// Configuration entries.
+    ConfigEntries(Vec<Entry>),
+    /// Answer to a forwarded request.
+    Forwarded(ForwardedAnswer),
+    /// The table was taken over.
+    HandoverAck,
+    /// The request cannot be carried out.
+    Refused,
+}
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -15,6 +15,7 @@
 use crate::backend::{BackendConfig, BackendServer};
 use crate::kv::KvService;
 use crate::relay::{Front, LinkBandwidth, LinkDelay, Place, PlaceSpec, Relay, RelayConfig};
+use crate::settings;
 use crate::values;
 use crate::vms::{Vm, VmKind, VmList, VmListing, VmState};
 use crate::worker::Worker;
@@ -196,7 +197,7 @@
                 let vm = ip(domain_network(region, i % DOMAINS_PER_REGION), 10 + node);
                 entries.push(EntryPlan {
                     node: node as u32,
-                    name: format!("entry-{node}"),
+                    name: format!("n{node}"),
                     place: domain(region, i % DOMAINS_PER_REGION),
                     outgoing: vm.into(),
                     http: Endpoint::new(vm, 8080),
@@ -316,7 +317,8 @@
         VmListing { vms }
     }
 
-    /// Writes `deployment.json` (this value) and `kv/<key>.json` for each initial key.
+    /// Writes `deployment.json` (this value), `kv/<key>.json` for each initial key, and settings and keys of the daemons
+    /// to `settings/`.
     pub fn write(&self, dir: &Path) -> io::Result<()> {
         let mut files = vec![("deployment".to_string(), serde_json::to_value(self)?)];
         for (key, value) in values::initial(self) {
@@ -329,7 +331,7 @@
             }
             std::fs::write(path, serde_json::to_vec_pretty(&value)?)?;
         }
-        Ok(())
+        settings::write(self, &dir.join("settings"))
     }
 
     /// Starts every stand-in, with the initial keys in the key-value service. The entry daemons are the caller's.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,6 +20,7 @@
 mod http;
 mod kv;
 mod relay;
+pub mod settings;
 pub mod values;
 mod vms;
 mod worker;
--- a/crates/standins/src/values.rs
+++ b/crates/standins/src/values.rs
@@ -14,12 +14,13 @@
 
 /// All initial keys with their values.
 pub fn initial(deployment: &Deployment) -> Vec<(String, Value)> {
-    let mut values = vec![("topology".into(), topology(deployment)), ("fleet".into(), fleet(deployment))];
+    let mut values =
+        vec![("config/topology".into(), topology(deployment)), ("config/fleet".into(), fleet(deployment))];
     for customer in &deployment.customers {
-        values.push((format!("contract/{customer}"), contract(deployment, customer)));
+        values.push((format!("config/contract/{customer}"), contract(deployment, customer)));
     }
     for plan in &deployment.services {
-        values.push((format!("service/{}", plan.name), service(deployment, plan)));
+        values.push((format!("config/service/{}", plan.name), service(deployment, plan)));
     }
     values
 }
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -305,3 +305,12 @@
         }
     }
 }
+
+impl Admission {
+    /// Takes changed settings over. Requests that wait keep their places, and run times stay as measured.
+    pub fn reconfigure(&mut self, cfg: &AdmissionConfig) {
+        self.wait_budget = cfg.wait_budget;
+        self.urgent_burst = cfg.typical_run * URGENT_BURST_RUNS;
+        self.floors.set_floors(cfg.floors);
+    }
+}
--- a/crates/state/src/admission/floors.rs
+++ b/crates/state/src/admission/floors.rs
@@ -52,10 +52,17 @@
 
 impl Floors {
     pub(super) fn new(floors: [Percent; 3], now: Timestamp) -> Self {
+        let mut this = Self { accounts: Default::default(), slots: 0, at: now };
+        this.set_floors(floors);
+        this
+    }
+
+    /// Sets the floors, scaled down if they sum to more than 100 %.
+    pub(super) fn set_floors(&mut self, floors: [Percent; 3]) {
         let sum: i64 = floors.iter().map(|p| i64::from(p.0)).sum();
-        let scale = |p: Percent| i64::from(p.0) * 100 / sum.max(100);
-        let accounts = floors.map(|p| Account { floor: scale(p), ..Account::default() });
-        Self { accounts, slots: 0, at: now }
+        for (account, floor) in self.accounts.iter_mut().zip(floors) {
+            account.floor = i64::from(floor.0) * 100 / sum.max(100);
+        }
     }
 
     pub(super) fn slots(&self) -> u32 {
--- a/crates/state/src/ledger/division.rs
+++ b/crates/state/src/ledger/division.rs
@@ -85,6 +85,12 @@
                 let nodes = self.regions.get(region).map(|r| r.nodes.clone()).unwrap_or_default();
                 HomeSet { nodes, in_domain: 0 }
             }
+            Scope::Regions(a, b) => {
+                let of = |region| self.regions.get(region).map(|r| &*r.nodes).unwrap_or_default();
+                let mut nodes = [of(a), of(b)].concat();
+                nodes.sort_unstable();
+                HomeSet { nodes: nodes.into(), in_domain: 0 }
+            }
             Scope::Home { region, domain } => match self.regions.get(region) {
                 Some(r) => r.home_set(domain, key_hash),
                 None => HomeSet::default(),
--- a/crates/state/src/ledger/key.rs
+++ b/crates/state/src/ledger/key.rs
@@ -70,8 +70,11 @@
         /// Failure domain of the backend server.
         domain: Domain,
     },
-    /// All daemons of the region that the traffic leaves. Used for [`LimitKey::Shift`] and [`LimitKey::Link`].
+    /// All daemons of the region that the traffic leaves. Used for [`LimitKey::Shift`].
     Region(Region),
+    /// All daemons of two regions. Used for [`LimitKey::Link`]: daemons of one region send requests over the link,
+    /// and answers to daemons of the other take the same direction.
+    Regions(Region, Region),
     /// All daemons. Used for [`LimitKey::Rate`].
     Fleet,
 }
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -33,6 +33,7 @@
 mod key;
 mod message;
 mod startup;
+mod view;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/state/src/model.rs
+++ b/crates/state/src/model.rs
@@ -195,3 +195,49 @@
     /// All backend servers of a region.
     Region(Region),
 }
+
+impl DrainScope {
+    /// Kind of the scope in configuration keys.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Backend(_) => "backend",
+            Self::Domain(_) => "domain",
+            Self::Region(_) => "region",
+        }
+    }
+
+    /// Name of what is drained.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Backend(name) => name.as_str(),
+            Self::Domain(name) => name.as_str(),
+            Self::Region(name) => name.as_str(),
+        }
+    }
+
+    /// Whether a backend server is taken out of service.
+    pub fn covers(&self, backend: &BackendSpec) -> bool {
+        match self {
+            Self::Backend(name) => *name == backend.name,
+            Self::Domain(name) => *name == backend.domain,
+            Self::Region(name) => *name == backend.region,
+        }
+    }
+}
+
+/// What a configuration key holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ConfigValue {
+    /// `config/contract/<customer>`
+    Contract(Contract),
+    /// `config/service/<name>`
+    Service(ServiceSpec),
+    /// `config/topology`
+    Topology(Topology),
+    /// `config/fleet`
+    Fleet(Fleet),
+    /// `config/drain/<kind>/<name>`
+    Drain(DrainScope),
+    /// `config/blocks/<part>`: lines `prefix region`.
+    Blocks(Box<str>),
+}
--- a/crates/state/src/node.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The decision logic of one daemon.
--- /dev/null
+++ b/crates/state/src/node/lending.rs
@@ -0,0 +1,117 @@
+//! Loans that this daemon grants.
+
+use crate::id::{Backend, NodeId, Region, Service};
+use crate::ledger::{LimitKey, LoanItem, LoanRequest, LoanWant, Units};
+use crate::node::{Effect, Node, PeerMessage};
+use crate::routing::Policy;
+use crate::time::Timestamp;
+
+/// Part of its slots, in percent, up to which a region takes work from other regions.
+pub(super) const REGION_LOAD_MAX: u32 = 90;
+
+impl<P: Policy> Node<P> {
+    pub(super) fn on_loan_request(&mut self, now: Timestamp, req: &LoanRequest, out: &mut Vec<Effect>) {
+        let borrower = req.id.borrower;
+        let items = match &req.want {
+            _ if !self.is_alive(now, borrower.node) || self.stop.refuses_requests() => Vec::new(),
+            _ if req.renews.is_some() => self.renewed(now, req),
+            LoanWant::Service(service) => self.spare_slots(now, borrower.node, service, req.units),
+            LoanWant::Limit(key) => self.spare_limit(now, key, req.units),
+        };
+        let grant = self.ledger.lend(now, req, &items);
+        out.push(Effect::Send { to: borrower.node, message: PeerMessage::LoanGrant(grant) });
+    }
+
+    /// A loan goes on unless its backend server leaves or the own work waits for the slots.
+    fn renewed(&self, now: Timestamp, req: &LoanRequest) -> Vec<LoanItem> {
+        let region = self.fleet_member(req.id.borrower.node).map(|m| m.region.clone());
+        let waits = |service: &Service| self.services.get(service).is_some_and(|svc| svc.waiting() > 0);
+        if matches!(&req.want, LoanWant::Service(service) if waits(service)) {
+            return Vec::new();
+        }
+        let mut items = self.ledger.renewable(now, req);
+        items.retain(|item| match (&item.key, &region) {
+            (LimitKey::Slots(backend), Some(region)) => self.lends(now, backend, region),
+            _ => true,
+        });
+        items
+    }
+
+    /// Slots that the own work does not need, spread over the backend servers.
+    fn spare_slots(
+        &self,
+        now: Timestamp,
+        borrower: NodeId,
+        service: &Service,
+        units: Units,
+    ) -> Vec<LoanItem> {
+        let Some(svc) = self.services.get(service).filter(|svc| svc.waiting() == 0) else {
+            return Vec::new();
+        };
+        let Some(region) = self.fleet_member(borrower).map(|m| m.region.clone()) else {
+            return Vec::new();
+        };
+        let mut wanted = units.0.min(self.slots_for_region(now, service, &region));
+        let mut items = Vec::<LoanItem>::new();
+        while wanted > 0 {
+            let mut progress = false;
+            for backend in svc.backends.iter().filter(|b| b.is_local) {
+                if wanted == 0 || !self.lends(now, &backend.spec.name, &region) {
+                    continue;
+                }
+                let lent = items.iter().find(|i| i.key == backend.key).map_or(0, |i| i.units.0);
+                if lent >= self.ledger.lendable(now, &backend.key).0 {
+                    continue;
+                }
+                match items.iter_mut().find(|i| i.key == backend.key) {
+                    Some(item) => item.units.0 += 1,
+                    None => items.push(LoanItem { key: backend.key.clone(), units: Units(1) }),
+                }
+                wanted -= 1;
+                progress = true;
+            }
+            if !progress {
+                break;
+            }
+        }
+        items
+    }
+
+    /// Whether slots of a backend server may go to a daemon of `region`. Another region gets them only on a fresh load
+    /// report with room, so that work stays at home when measurements stop.
+    fn lends(&self, now: Timestamp, backend: &Backend, region: &Region) -> bool {
+        self.routing.accepts(now, backend)
+            && (*region == self.cfg.region || self.routing.has_reported_room(now, backend))
+    }
+
+    /// Slots that daemons of `region` may still get: all spare ones for the own region; for others as many as keep
+    /// the own part of the region under [`REGION_LOAD_MAX`].
+    fn slots_for_region(&self, now: Timestamp, service: &Service, region: &Region) -> u32 {
+        if *region == self.cfg.region {
+            return u32::MAX;
+        }
+        let Some(svc) = self.services.get(service) else {
+            return 0;
+        };
+        let (mut share, mut spare) = (0, 0);
+        for backend in svc.backends.iter().filter(|b| b.is_local) {
+            if !self.routing.accepts(now, &backend.spec.name) {
+                continue;
+            }
+            share += self.ledger.share(&backend.key).0;
+            spare += self.ledger.lendable(now, &backend.key).0;
+        }
+        let busy = share.saturating_sub(spare);
+        (share * REGION_LOAD_MAX / 100).saturating_sub(busy)
+    }
+
+    /// Units of a rate limit beyond the own recent use; half of them, so that the own traffic can still grow.
+    fn spare_limit(&self, now: Timestamp, key: &LimitKey, units: Units) -> Vec<LoanItem> {
+        let spare = self.ledger.lendable(now, key).0.saturating_sub(self.limits.mean_use(key).0) / 2;
+        let units = Units(units.0.min(spare));
+        if units == Units(0) {
+            return Vec::new();
+        }
+        vec![LoanItem { key: key.clone(), units }]
+    }
+}
--- /dev/null
+++ b/crates/state/src/node/limits.rs
@@ -0,0 +1,105 @@
+//! Token buckets whose rates are usable shares of limits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::bucket::TokenBucket;
+use crate::id::{Customer, Region, Service};
+use crate::ledger::{Ledger, LimitKey, Units};
+use crate::time::Timestamp;
+
+/// Burst of a rate limit, as time at its rate. Long enough for the integer division of small limits over many
+/// daemons, short enough that a second never sees more than half a second's worth on top.
+const BURST: Duration = Duration::from_millis(500);
+
+/// Weight of the newest period in the mean use, as a divisor.
+const USE_DIVISOR: u32 = 4;
+
+#[derive(Debug)]
+struct Limited {
+    bucket: TokenBucket,
+    taken: u32,
+    mean_use: u32,
+    wanted: u32,
+}
+
+/// The rate limits of one daemon.
+#[derive(Debug, Default)]
+pub(super) struct Limits {
+    limited: BTreeMap<LimitKey, Limited>,
+    last_refresh: Timestamp,
+}
+
+pub(super) fn rate_key(customer: &Customer, service: &Service) -> LimitKey {
+    LimitKey::Rate(customer.clone(), service.clone())
+}
+
+pub(super) fn shift_key(customer: &Customer, service: &Service, from: &Region) -> LimitKey {
+    LimitKey::Shift(customer.clone(), service.clone(), from.clone())
+}
+
+pub(super) fn link_key(from: &Region, to: &Region) -> LimitKey {
+    LimitKey::Link(from.clone(), to.clone())
+}
+
+impl Limits {
+    /// Takes units of a limit. False if the share is used up or the limit is unknown.
+    pub(super) fn take(&mut self, now: Timestamp, key: &LimitKey, units: u32) -> bool {
+        let Some(limited) = self.limited.get_mut(key) else {
+            return false;
+        };
+        let taken = limited.bucket.take(now, units);
+        if taken {
+            limited.taken = limited.taken.saturating_add(units);
+        } else {
+            limited.wanted = limited.wanted.saturating_add(units);
+        }
+        taken
+    }
+
+    /// Time until the units can be taken.
+    pub(super) fn wait(&self, now: Timestamp, key: &LimitKey, units: u32) -> Duration {
+        self.limited.get(key).map_or(Duration::from_secs(1), |l| l.bucket.wait(now, units))
+    }
+
+    /// Mean use in units per second.
+    pub(super) fn mean_use(&self, key: &LimitKey) -> Units {
+        Units(self.limited.get(key).map_or(0, |l| l.mean_use))
+    }
+
+    /// Keys of which more was wanted than taken since the last call, with the units per second that were missing.
+    pub(super) fn short(&mut self) -> Vec<(LimitKey, Units)> {
+        let mut short = Vec::new();
+        for (key, limited) in &mut self.limited {
+            let wanted = std::mem::take(&mut limited.wanted);
+            if wanted == 0 {
+                continue;
+            }
+            short.push((key.clone(), Units(wanted)));
+        }
+        short
+    }
+
+    /// Adds a limit.
+    pub(super) fn add(&mut self, now: Timestamp, key: LimitKey) {
+        let new = || Limited { bucket: TokenBucket::new(now, BURST), taken: 0, mean_use: 0, wanted: 0 };
+        self.limited.entry(key).or_insert_with(new);
+    }
+
+    /// Removes the limits for which `keep` is false.
+    pub(super) fn retain(&mut self, keep: impl Fn(&LimitKey) -> bool) {
+        self.limited.retain(|key, _| keep(key));
+    }
+
+    /// Sets every rate to the usable share and updates the mean use.
+    pub(super) fn refresh(&mut self, now: Timestamp, ledger: &Ledger) {
+        let elapsed_ms = u32::try_from(now.since(self.last_refresh).as_millis()).unwrap_or(u32::MAX).max(1);
+        self.last_refresh = now;
+        for (key, limited) in &mut self.limited {
+            limited.bucket.set_rate(now, ledger.usable(now, key).0);
+            let taken = u64::from(std::mem::take(&mut limited.taken));
+            let rate = u32::try_from(taken * 1_000 / u64::from(elapsed_ms)).unwrap_or(u32::MAX);
+            limited.mean_use = limited.mean_use - limited.mean_use / USE_DIVISOR + rate / USE_DIVISOR;
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/node/requests.rs
@@ -0,0 +1,474 @@
+//! The course of one request, from its arrival to its answer.
+
+use std::time::Duration;
+
+use crate::admission::{Offered, Ticket};
+use crate::id::{Backend, Customer, Incarnation, NodeId, RequestId, Service};
+use crate::ledger::Hold;
+use crate::model::ServiceTerms;
+use crate::node::limits::rate_key;
+use crate::node::{
+    ClaimEnd, Effect, ForwardEnd, Idempotency, IncomingRequest, Node, Notice, Outcome, Reason, Refusal,
+};
+use crate::operation::{
+    Begin, Claim, OperationEnd, OperationRequest, RecordedAnswer, RefusedReason, UnknownReason,
+};
+use crate::quarantine::{RunStart, Verdict};
+use crate::routing::{AttemptEnd, Policy};
+use crate::time::Timestamp;
+
+/// Most attempts at backend servers per request.
+const MAX_ATTEMPTS: u8 = 3;
+
+/// Retry-After of refusals whose cause should be over soon.
+const RETRY_SOON: Duration = Duration::from_millis(500);
+
+/// How an attempt ended, with what came back.
+#[derive(Debug)]
+pub(super) struct Ended {
+    pub(super) end: AttemptEnd,
+    pub(super) head_received: bool,
+    pub(super) response_bytes: u32,
+    pub(super) answer: Option<RecordedAnswer>,
+}
+
+/// An attempt under way.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) backend: Backend,
+    pub(super) holds: Vec<Hold>,
+    pub(super) started: Timestamp,
+}
+
+/// A request that this daemon holds.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) req: IncomingRequest,
+    pub(super) deadline: Timestamp,
+    pub(super) attempts: u8,
+    pub(super) attempt: Option<Attempt>,
+    pub(super) avoid: Option<Backend>,
+    /// Crash evidence that was known when the attempt started.
+    pub(super) run_start: Option<RunStart>,
+    /// Whether it runs alone on its backend server.
+    pub(super) alone: bool,
+    /// Whether an entry of the operation table is running for it.
+    pub(super) owns_operation: bool,
+}
+
+impl Pending {
+    pub(super) fn ticket(&self, now: Timestamp) -> Ticket {
+        Ticket {
+            request: self.req.id,
+            customer: self.req.customer.clone(),
+            rank: self.req.rank,
+            deadline: self.deadline,
+            queued_at: now,
+        }
+    }
+}
+
+fn not_run(reason: Reason, retry_after: Option<Duration>) -> Refusal {
+    Refusal { outcome: Outcome::NotRun, reason, retry_after }
+}
+
+fn unknown(reason: Reason) -> Refusal {
+    Refusal { outcome: Outcome::Unknown, reason, retry_after: None }
+}
+
+impl<P: Policy> Node<P> {
+    fn terms(&self, customer: &Customer, service: &Service) -> Option<&ServiceTerms> {
+        self.contracts.get(customer)?.services.iter().find(|t| t.service == *service)
+    }
+
+    pub(super) fn on_request(&mut self, now: Timestamp, req: IncomingRequest, out: &mut Vec<Effect>) {
+        let id = req.id;
+        let refusal = match self.check_contract(now, &req) {
+            Ok(deadline) => {
+                self.requests.insert(id, Pending::new(req, deadline));
+                return self.begin_request(now, id, out);
+            }
+            Err(refusal) => refusal,
+        };
+        out.push(Effect::Refuse { request: id, refusal });
+    }
+
+    fn check_contract(&mut self, now: Timestamp, req: &IncomingRequest) -> Result<Timestamp, Refusal> {
+        if self.stop.refuses_requests() {
+            return Err(not_run(Reason::Stopping, Some(Duration::ZERO)));
+        }
+        let terms = self.terms(&req.customer, &req.service).ok_or(not_run(Reason::NoContract, None))?;
+        let deadline = now + req.deadline.min(terms.max_deadline);
+        if !self.services.contains_key(&req.service) {
+            return Err(not_run(Reason::NoService, None));
+        }
+        // A forwarded request has been counted by the daemon that it reached first.
+        let key = rate_key(&req.customer, &req.service);
+        if !req.forwarded && !self.limits.take(now, &key, 1) {
+            return Err(not_run(Reason::RateLimit, Some(self.limits.wait(now, &key, 1))));
+        }
+        Ok(deadline)
+    }
+
+    fn begin_request(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        let pending = &self.requests[&id];
+        match pending.req.idempotency.clone() {
+            Idempotency::Repeatable => self.screen(now, id, out),
+            Idempotency::Missing => self.refuse(now, id, not_run(Reason::TokenRequired, None), out),
+            Idempotency::Token(token) => {
+                let minute = self.minute(now);
+                let begin = self.operations.begin(now, minute, &token, &operation_request(&pending.req));
+                self.on_begin(now, id, begin, out);
+            }
+            Idempotency::Key(key) => {
+                if !self.claims.take(now, 1) {
+                    let wait = self.claims.wait(now, 1);
+                    return self.refuse(now, id, not_run(Reason::ClaimBudget, Some(wait)), out);
+                }
+                let customer = pending.req.customer.clone();
+                let issuer = self.operations.issuer(self.minute(now));
+                out.push(Effect::Claim { request: id, customer, key, issuer });
+            }
+        }
+    }
+
+    pub(super) fn on_claim_ended(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        end: &ClaimEnd,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let issuer = match end {
+            ClaimEnd::Owned(issuer) => *issuer,
+            ClaimEnd::Unavailable => {
+                return self.refuse(now, id, not_run(Reason::ClaimUnavailable, Some(RETRY_SOON)), out);
+            }
+        };
+        let Idempotency::Key(key) = pending.req.idempotency.clone() else {
+            return;
+        };
+        let (claim, req) = (Claim { key, issuer }, operation_request(&pending.req));
+        let begin = self.operations.begin_claimed(now, self.minute(now), &claim, &req);
+        self.on_begin(now, id, begin, out);
+    }
+
+    fn on_begin(&mut self, now: Timestamp, id: RequestId, begin: Begin, out: &mut Vec<Effect>) {
+        match begin {
+            Begin::Run => {
+                if let Some(pending) = self.requests.get_mut(&id) {
+                    pending.owns_operation = true;
+                }
+                self.screen(now, id, out);
+            }
+            // The request that runs answers this one as well.
+            Begin::Join => {}
+            Begin::Answer(answer) => {
+                self.requests.remove(&id);
+                out.push(Effect::Replay { request: id, answer });
+            }
+            Begin::Unknown(reason) => self.refuse(now, id, unknown(unknown_reason(reason)), out),
+            Begin::Refused(reason) => self.refuse(now, id, operation_refusal(reason), out),
+            Begin::NotOwner { owner, forward_to } => self.forward_to_owner(now, id, owner, forward_to, out),
+        }
+    }
+
+    /// Sends the request to the daemon that owns its operation. A second hop is never made, so that two daemons with
+    /// different views cannot send a request back and forth.
+    fn forward_to_owner(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        owner: Incarnation,
+        to: NodeId,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let restarted = self.membership.member(to).is_some_and(|m| m.id.boot > owner.boot);
+        let reason = if to == owner.node && restarted {
+            Some(Reason::OwnerRestarted)
+        } else if pending.req.forwarded || !self.is_alive(now, to) {
+            Some(Reason::OwnerUnreachable)
+        } else {
+            None
+        };
+        match reason {
+            Some(reason) => self.refuse(now, id, unknown(reason), out),
+            None => self.forward(now, id, to, out),
+        }
+    }
+
+    fn forward(&mut self, now: Timestamp, id: RequestId, to: NodeId, out: &mut Vec<Effect>) {
+        let budget = self.requests[&id].deadline.since(now);
+        out.push(Effect::Forward { request: id, to, budget });
+    }
+
+    pub(super) fn on_forward_ended(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        end: &ForwardEnd,
+        out: &mut Vec<Effect>,
+    ) {
+        match end {
+            ForwardEnd::Answered => {
+                self.requests.remove(&id);
+                out.push(Effect::Deliver { request: id });
+            }
+            ForwardEnd::NoAnswer => self.refuse(now, id, unknown(Reason::OwnerUnreachable), out),
+        }
+    }
+
+    /// Holds back requests that have crashed backend servers.
+    fn screen(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        let req = &self.requests[&id].req;
+        let fingerprint = req.fingerprint;
+        match self.quarantine.check(now, fingerprint) {
+            Verdict::Clear => self.enqueue(now, id, out),
+            Verdict::Refused { until } => {
+                out.push(Effect::Notice(Notice::Quarantined { request: id, fingerprint }));
+                self.refuse(now, id, not_run(Reason::Quarantined, Some(until.since(now))), out);
+            }
+            Verdict::RunAlone { arbiter } => {
+                // An operation stays with its owner: a second daemon must not run it.
+                let stays = arbiter == self.cfg.me.node || req.forwarded || self.requests[&id].owns_operation;
+                if stays {
+                    self.enqueue_alone(now, id, out);
+                } else if self.is_alive(now, arbiter) {
+                    self.forward(now, id, arbiter, out);
+                } else {
+                    self.refuse(now, id, not_run(Reason::ArbiterUnreachable, Some(RETRY_SOON)), out);
+                }
+            }
+        }
+    }
+
+    fn enqueue_alone(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        pending.alone = true;
+        let service = pending.req.service.clone();
+        if let Some(svc) = self.services.get_mut(&service) {
+            svc.alone.push_back(id);
+        }
+        self.start_service(now, &service, out);
+    }
+
+    fn enqueue(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        let pending = &self.requests[&id];
+        let (service, ticket) = (pending.req.service.clone(), pending.ticket(now));
+        let slots = self.usable_slots(now, &service);
+        let Some(svc) = self.services.get_mut(&service) else {
+            return;
+        };
+        match svc.admission.offer(now, ticket, slots) {
+            Offered::Queued => self.start_service(now, &service, out),
+            Offered::Refused { retry_after, .. } => {
+                svc.refused += 1;
+                self.refuse(now, id, not_run(Reason::Overloaded, Some(retry_after)), out);
+                self.seek_loans(now, &service, out);
+            }
+        }
+    }
+
+    /// Answers requests that waited too long.
+    pub(super) fn expire_waiting(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
+        let mut expired = Vec::new();
+        for svc in self.services.values_mut() {
+            expired.extend(svc.admission.expired(now).into_iter().map(|ticket| ticket.request));
+            let requests = &self.requests;
+            svc.alone.retain(|id| {
+                let waits = requests.get(id).is_some_and(|p| p.deadline > now);
+                if !waits {
+                    expired.push(*id);
+                }
+                waits
+            });
+        }
+        for id in expired {
+            self.refuse(now, id, not_run(Reason::DeadlineBeforeStart, Some(RETRY_SOON)), out);
+        }
+    }
+
+    /// Answers a request, and those that wait for the same operation, with a refusal.
+    pub(super) fn refuse(&mut self, now: Timestamp, id: RequestId, refusal: Refusal, out: &mut Vec<Effect>) {
+        let Some(pending) = self.requests.remove(&id) else {
+            return;
+        };
+        out.push(Effect::Refuse { request: id, refusal });
+        if !pending.owns_operation {
+            return;
+        }
+        let end = match refusal.outcome {
+            Outcome::NotRun => OperationEnd::NotRun,
+            Outcome::Unknown => OperationEnd::Unknown,
+        };
+        for joined in self.operations.finish(now, id, end) {
+            self.requests.remove(&joined);
+            out.push(Effect::Refuse { request: joined, refusal });
+        }
+    }
+
+    pub(super) fn on_attempt_ended(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        ended: Ended,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = pending.attempt.take() else {
+            return;
+        };
+        let service = pending.req.service.clone();
+        let ran_alone = pending.alone.then_some(pending.req.fingerprint);
+        self.routing.on_end(now, &attempt.backend, &ended.end);
+        self.note_end(now, id, &attempt, &ended);
+        self.release(now, &service, attempt.holds, &ended.end);
+        match ended.end {
+            AttemptEnd::Ran { .. } | AttemptEnd::ServerError { .. } => {
+                self.complete(now, id, ended.answer, out)
+            }
+            AttemptEnd::Shed => self.retry(now, id, attempt.backend, Reason::Shed, out),
+            AttemptEnd::NotConnected => self.retry(now, id, attempt.backend, Reason::NotConnected, out),
+            AttemptEnd::TimedOut | AttemptEnd::Cancelled => {
+                self.refuse(now, id, unknown(Reason::DeadlineWhileRunning), out);
+            }
+            AttemptEnd::Broken => {
+                if !ended.head_received {
+                    self.suspect_crash(now, id, attempt.backend, out);
+                }
+                self.refuse(now, id, unknown(Reason::ConnectionBroken), out);
+            }
+        }
+        // After the crash or success was recorded, the next copy may run.
+        if let Some(fingerprint) = ran_alone {
+            self.quarantine.finish_alone(fingerprint);
+        }
+        self.start_service(now, &service, out);
+    }
+
+    fn note_end(&mut self, now: Timestamp, id: RequestId, attempt: &Attempt, ended: &Ended) {
+        let Pending { req, alone, .. } = &self.requests[&id];
+        let (rank, alone) = (req.rank, *alone);
+        let Some(svc) = self.services.get_mut(&req.service) else {
+            return;
+        };
+        svc.running = svc.running.saturating_sub(1);
+        if let AttemptEnd::Ran { .. } = ended.end {
+            svc.earn_retry();
+            svc.on_response(ended.response_bytes);
+        }
+        // Requests that run alone do not pass the queues, and what was not run goes back into them.
+        let ran = !matches!(ended.end, AttemptEnd::Shed | AttemptEnd::NotConnected);
+        if ran && !alone {
+            svc.admission.on_finished(now, rank, now.since(attempt.started));
+        }
+    }
+
+    fn complete(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        answer: Option<RecordedAnswer>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.remove(&id) else {
+            return;
+        };
+        let cleared = pending.run_start.as_ref().and_then(|start| self.quarantine.on_success(now, start));
+        if let Some(evidence) = cleared {
+            self.send_evidence(now, &evidence, out);
+        }
+        out.push(Effect::Deliver { request: id });
+        if !pending.owns_operation {
+            return;
+        }
+        let end = answer.clone().map_or(OperationEnd::Unknown, OperationEnd::Answered);
+        for joined in self.operations.finish(now, id, end) {
+            self.requests.remove(&joined);
+            out.push(match answer.clone() {
+                Some(answer) => Effect::Replay { request: joined, answer },
+                None => Effect::Refuse { request: joined, refusal: unknown(Reason::EarlierAttemptUnknown) },
+            });
+        }
+    }
+
+    /// Tries again after an attempt that certainly did not run.
+    fn retry(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        failed: Backend,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let mut may_retry = pending.attempts < MAX_ATTEMPTS && pending.deadline > now;
+        if let Some(svc) = self.services.get_mut(&pending.req.service) {
+            may_retry = may_retry && svc.pay_retry();
+            pending.avoid = Some(failed);
+            svc.put_back(pending, now);
+            if !may_retry {
+                svc.cancel(id);
+            }
+        }
+        if !may_retry {
+            self.refuse(now, id, not_run(reason, Some(RETRY_SOON)), out);
+        }
+    }
+
+    fn suspect_crash(&mut self, now: Timestamp, id: RequestId, backend: Backend, out: &mut Vec<Effect>) {
+        let fingerprint = self.requests[&id].req.fingerprint;
+        let evidence = self.quarantine.on_crash(now, fingerprint);
+        let crashes = u32::try_from(evidence.crashes()).unwrap_or(u32::MAX);
+        out.push(Effect::Notice(Notice::CrashSuspected { request: id, fingerprint, backend, crashes }));
+        self.send_evidence(now, &evidence, out);
+    }
+}
+
+impl Pending {
+    fn new(req: IncomingRequest, deadline: Timestamp) -> Self {
+        Self {
+            req,
+            deadline,
+            attempts: 0,
+            attempt: None,
+            avoid: None,
+            run_start: None,
+            alone: false,
+            owns_operation: false,
+        }
+    }
+}
+
+fn unknown_reason(reason: UnknownReason) -> Reason {
+    match reason {
+        UnknownReason::Expired => Reason::TokenExpired,
+        UnknownReason::AttemptLost => Reason::EarlierAttemptUnknown,
+        UnknownReason::OwnerEnded | UnknownReason::HandedOver => Reason::OwnerRestarted,
+    }
+}
+
+fn operation_refusal(reason: RefusedReason) -> Refusal {
+    match reason {
+        RefusedReason::TableFull => not_run(Reason::OperationsFull, Some(RETRY_SOON)),
+        RefusedReason::NameInUse => not_run(Reason::TokenConflict, None),
+        RefusedReason::Leaving => not_run(Reason::Stopping, Some(Duration::ZERO)),
+        RefusedReason::NotIssued => not_run(Reason::Malformed, None),
+    }
+}
+
+fn operation_request(req: &IncomingRequest) -> OperationRequest {
+    OperationRequest { id: req.id, customer: req.customer.clone(), fingerprint: req.fingerprint }
+}
--- /dev/null
+++ b/crates/state/src/node/starting.rs
@@ -0,0 +1,231 @@
+//! Start of waiting requests on backend servers.
+
+use std::time::Duration;
+
+use crate::id::{Backend, RequestId, Service};
+use crate::ledger::{Hold, Units};
+use crate::node::limits::{link_key, shift_key};
+use crate::node::requests::Attempt;
+use crate::node::service::LateHold;
+use crate::node::{Dispatch, Effect, Node};
+use crate::routing::{AttemptEnd, Candidate, Policy};
+use crate::time::Timestamp;
+
+/// Time for which a slot stays in use after its attempt was cancelled, until the backend server has noticed. Covers
+/// the longest one-way delay of the deployments with a margin.
+const CANCEL_GRACE: Duration = Duration::from_millis(100);
+
+/// Bits per kbit.
+const KBIT: u32 = 1_000;
+
+impl<P: Policy> Node<P> {
+    /// Slots of the service that this daemon may use now, its own and borrowed ones.
+    pub(super) fn usable_slots(&self, now: Timestamp, service: &Service) -> u32 {
+        let Some(svc) = self.services.get(service) else {
+            return 0;
+        };
+        let mut slots = 0;
+        for backend in &svc.backends {
+            if !self.routing.accepts(now, &backend.spec.name) {
+                continue;
+            }
+            slots += self.ledger.usable(now, &backend.key).0;
+        }
+        slots
+    }
+
+    pub(super) fn start_waiting(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
+        let services =
+            self.services.iter().filter(|(_, svc)| svc.waiting() > 0).map(|(name, _)| name.clone());
+        for service in services.collect::<Vec<_>>() {
+            self.start_service(now, &service, out);
+        }
+    }
+
+    /// Starts as many waiting requests of the service as there are free slots, and asks for loans for the rest.
+    pub(super) fn start_service(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
+        self.start_alone(now, service, out);
+        while let Some(ticket) = self.services.get_mut(service).and_then(|svc| svc.admission.next(now)) {
+            let started = self.start(now, ticket.request, out);
+            if started {
+                continue;
+            }
+            if let Some(svc) = self.services.get_mut(service) {
+                svc.admission.put_back(ticket);
+            }
+            break;
+        }
+        if self.services.get(service).is_some_and(|svc| svc.waiting() > 0) {
+            self.seek_loans(now, service, out);
+        }
+    }
+
+    fn start_alone(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
+        while let Some(id) = self.services.get(service).and_then(|svc| svc.alone.front().copied()) {
+            let Some(backend) = self.idle_backend(now, service) else {
+                return;
+            };
+            let Some(pending) = self.requests.get(&id) else {
+                self.drop_alone(service);
+                continue;
+            };
+            let fingerprint = pending.req.fingerprint;
+            let Some(run_start) = self.quarantine.start_alone(now, fingerprint) else {
+                return;
+            };
+            let units = self.free_on(now, service, &backend);
+            if !self.start_on(now, id, &backend, units, out) {
+                self.quarantine.finish_alone(fingerprint);
+                return;
+            }
+            if let Some(pending) = self.requests.get_mut(&id) {
+                pending.run_start = Some(run_start);
+            }
+            self.drop_alone(service);
+        }
+    }
+
+    fn drop_alone(&mut self, service: &Service) {
+        if let Some(svc) = self.services.get_mut(service) {
+            svc.alone.pop_front();
+        }
+    }
+
+    /// A backend server of the own region on which this daemon runs nothing.
+    fn idle_backend(&self, now: Timestamp, service: &Service) -> Option<Backend> {
+        let svc = self.services.get(service)?;
+        for backend in svc.backends.iter().filter(|b| b.is_local) {
+            let usable = self.ledger.usable(now, &backend.key);
+            let idle = usable > Units(0) && self.ledger.free(now, &backend.key) == usable;
+            if idle && self.routing.accepts(now, &backend.spec.name) {
+                return Some(backend.spec.name.clone());
+            }
+        }
+        None
+    }
+
+    fn free_on(&self, now: Timestamp, service: &Service, backend: &Backend) -> Units {
+        let key =
+            self.services.get(service).and_then(|s| s.backends.iter().find(|b| b.spec.name == *backend));
+        key.map_or(Units(0), |b| self.ledger.free(now, &b.key))
+    }
+
+    /// Starts a request on the best backend server. False if none can take it now.
+    fn start(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) -> bool {
+        let Some(pending) = self.requests.get(&id) else {
+            return true;
+        };
+        let (service, avoid) = (pending.req.service.clone(), pending.avoid.clone());
+        if let Some(backend) = self.pick(now, &service, true, avoid.as_ref()) {
+            return self.start_on(now, id, &backend, Units(1), out);
+        }
+        let Some(backend) = self.pick(now, &service, false, avoid.as_ref()) else {
+            return false;
+        };
+        self.take_shift(now, id, &backend) && self.start_on(now, id, &backend, Units(1), out)
+    }
+
+    fn pick(
+        &mut self,
+        now: Timestamp,
+        service: &Service,
+        local: bool,
+        avoid: Option<&Backend>,
+    ) -> Option<Backend> {
+        let svc = self.services.get(service)?;
+        let mut candidates = Vec::with_capacity(svc.backends.len());
+        for backend in svc.backends.iter().filter(|b| b.is_local == local) {
+            let free = self.ledger.free(now, &backend.key).0;
+            if free == 0 || !self.routing.accepts(now, &backend.spec.name) {
+                continue;
+            }
+            let usable = self.ledger.usable(now, &backend.key).0;
+            let cap = self.routing.slot_cap(now, &backend.spec.name);
+            let in_use = usable.saturating_sub(free);
+            if in_use >= cap {
+                continue;
+            }
+            let free = free.min(cap - in_use);
+            candidates.push(Candidate { backend: &backend.spec.name, free, usable, same_region: local });
+        }
+        self.routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
+    }
+
+    /// Charges a request that leaves the region to the contract's shift cap and to the links.
+    fn take_shift(&mut self, now: Timestamp, id: RequestId, backend: &Backend) -> bool {
+        let req = &self.requests[&id].req;
+        let Some(svc) = self.services.get(&req.service) else {
+            return false;
+        };
+        let Some(target) = svc.backends.iter().find(|b| b.spec.name == *backend) else {
+            return false;
+        };
+        let (home, away) = (&self.cfg.region, &target.spec.region);
+        let shift = shift_key(&req.customer, &req.service, home);
+        let (there, back) = (link_key(home, away), link_key(away, home));
+        let request_kbit = (req.body_bytes.saturating_mul(8)).div_ceil(KBIT);
+        let response_kbit = svc.response_bytes.saturating_mul(8).div_ceil(KBIT);
+        let fits = self.limits.wait(now, &there, request_kbit).is_zero()
+            && self.limits.wait(now, &back, response_kbit).is_zero();
+        fits && self.limits.take(now, &shift, 1)
+            && self.limits.take(now, &there, request_kbit)
+            && self.limits.take(now, &back, response_kbit)
+    }
+
+    /// Starts a request on a backend server. The share is checked here, immediately before the dispatch.
+    fn start_on(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        backend: &Backend,
+        units: Units,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return true;
+        };
+        let Some(svc) = self.services.get_mut(&pending.req.service) else {
+            return false;
+        };
+        let Some(target) = svc.backends.iter().find(|b| b.spec.name == *backend) else {
+            return false;
+        };
+        let mut holds = Vec::new();
+        for _ in 0..units.0 {
+            holds.extend(self.ledger.acquire(now, &target.key, Units(1)));
+        }
+        if holds.is_empty() {
+            return false;
+        }
+        let ends = holds.iter().filter_map(Hold::run_until).fold(pending.deadline, Timestamp::min);
+        svc.running += 1;
+        pending.attempts += 1;
+        pending.run_start = Some(self.quarantine.start(now, pending.req.fingerprint));
+        pending.attempt = Some(Attempt { backend: backend.clone(), holds, started: now });
+        out.push(Effect::Dispatch(Dispatch {
+            request: id,
+            backend: backend.clone(),
+            address: target.spec.address,
+            budget: ends.since(now),
+        }));
+        true
+    }
+
+    pub(super) fn release(&mut self, now: Timestamp, service: &Service, holds: Vec<Hold>, end: &AttemptEnd) {
+        let stopped = !matches!(end, AttemptEnd::TimedOut | AttemptEnd::Cancelled | AttemptEnd::Broken);
+        for hold in holds {
+            match self.services.get_mut(service) {
+                Some(svc) if !stopped => svc.late.push(LateHold { at: now + CANCEL_GRACE, hold }),
+                _ => self.ledger.release(now, hold),
+            }
+        }
+    }
+
+    pub(super) fn release_late_holds(&mut self, now: Timestamp) {
+        for svc in self.services.values_mut() {
+            for late in svc.late.extract_if(.., |late| late.at <= now) {
+                self.ledger.release(now, late.hold);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/node/view.rs
@@ -0,0 +1,224 @@
+//! What the daemon shows: lookups, status, and reports for operators.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::blocks::Blocks;
+
+use crate::config::{Digest, Entry, KeyRevision};
+use crate::id::{Backend, Boot, Domain, Incarnation, NodeId, Region, Revision};
+use crate::ledger::{LimitKey, Units};
+use crate::membership::Liveness;
+use crate::model::{FleetMember, ServiceSpec};
+use crate::node::Node;
+use crate::operation::Issuer;
+use crate::routing::Policy;
+use crate::time::Timestamp;
+
+/// Weight of an entry VM of the caller's region.
+const LOCAL_WEIGHT: u32 = 100;
+
+/// Most entry VMs that a lookup names.
+const LOOKUP_ENTRIES_MAX: usize = 8;
+
+/// One entry VM that a caller may use.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LookupEntry {
+    /// The daemon.
+    pub node: NodeId,
+    /// Its region.
+    pub region: Region,
+    /// The address that callers use.
+    pub address: SocketAddr,
+    /// Relative share of requests; zero means only when all others fail.
+    pub weight: u32,
+    /// Prefix of operation tokens that this daemon owns.
+    pub token_prefix: Box<str>,
+}
+
+/// One daemon as seen by another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MemberView {
+    /// The daemon.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its liveness.
+    pub liveness: Liveness,
+    /// Whether it holds the same configuration.
+    pub in_force: bool,
+}
+
+/// One limit at this daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitView {
+    /// The limit.
+    pub key: LimitKey,
+    /// Base share.
+    pub share: Units,
+    /// Units that may be used now.
+    pub usable: Units,
+    /// Units in use.
+    pub in_use: Units,
+}
+
+/// State of the daemon for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OpsView {
+    /// Requests in queues.
+    pub waiting: usize,
+    /// Requests that this daemon holds, the waiting ones included.
+    pub requests: usize,
+    /// Entries of the operation table.
+    pub operations: usize,
+    /// Limits with a share or a loan.
+    pub limits: Vec<LimitView>,
+}
+
+/// What the workers serve without asking the decision logic.
+#[derive(Debug, Clone)]
+pub struct NodeView {
+    /// This daemon.
+    pub me: Incarnation,
+    /// Its region.
+    pub region: Region,
+    /// Entry VMs that callers may use.
+    pub entries: Vec<LookupEntry>,
+    /// The plain status text.
+    pub status: Box<str>,
+    /// Whether a planned stop is under way.
+    pub leaving: bool,
+    /// Regions of client addresses.
+    pub blocks: Arc<Blocks>,
+    /// What is in force here.
+    pub digest: Digest,
+    /// The daemons of the fleet.
+    pub members: Vec<MemberView>,
+}
+
+impl<P: Policy> Node<P> {
+    /// The view for the workers.
+    pub fn view(&self, now: Timestamp) -> NodeView {
+        NodeView {
+            me: self.cfg.me,
+            region: self.cfg.region.clone(),
+            entries: self.lookup_entries(now),
+            status: self.status.text(),
+            blocks: Arc::clone(&self.blocks),
+            leaving: self.is_leaving(),
+            digest: self.entries.digest(),
+            members: self.member_views(now),
+        }
+    }
+
+    fn lookup_entries(&self, now: Timestamp) -> Vec<LookupEntry> {
+        let mut members = self.fleet.members.iter().filter(|m| self.serves(now, m)).collect::<Vec<_>>();
+        members.sort_by_key(|m| (self.delay_to(&m.region), m.node));
+        members.truncate(LOOKUP_ENTRIES_MAX);
+        members.into_iter().map(|m| self.lookup_entry(now, m)).collect()
+    }
+
+    fn lookup_entry(&self, now: Timestamp, member: &FleetMember) -> LookupEntry {
+        let boot = match self.membership.member(member.node) {
+            _ if member.node == self.cfg.me.node => self.cfg.me.boot,
+            Some(state) => state.id.boot,
+            None => Boot(0),
+        };
+        let owner = Incarnation { node: member.node, boot };
+        let is_local = member.region == self.cfg.region;
+        LookupEntry {
+            node: member.node,
+            region: member.region.clone(),
+            address: member.http_address,
+            weight: if is_local { LOCAL_WEIGHT } else { 0 },
+            token_prefix: format!("{}-", Issuer { owner, issued: self.minute(now) }).into(),
+        }
+    }
+
+    fn serves(&self, now: Timestamp, member: &FleetMember) -> bool {
+        if member.node == self.cfg.me.node {
+            return !self.is_leaving();
+        }
+        let leaving = self.membership.member(member.node).is_some_and(|m| m.leaving);
+        !leaving && self.membership.liveness(now, member.node) != Liveness::Dead
+    }
+
+    fn delay_to(&self, region: &Region) -> std::time::Duration {
+        if *region == self.cfg.region {
+            return std::time::Duration::ZERO;
+        }
+        let link = self.topology.links.iter().find(|l| l.from == self.cfg.region && l.to == *region);
+        link.map_or(std::time::Duration::MAX, |l| l.delay)
+    }
+
+    fn member_views(&self, now: Timestamp) -> Vec<MemberView> {
+        let digest = self.entries.digest();
+        let view = |m: &FleetMember| {
+            let is_me = m.node == self.cfg.me.node;
+            let state = self.membership.member(m.node);
+            MemberView {
+                node: m.node,
+                domain: m.domain.clone(),
+                liveness: if is_me { Liveness::Alive } else { self.membership.liveness(now, m.node) },
+                in_force: is_me || state.is_some_and(|s| s.config == digest),
+            }
+        };
+        self.fleet.members.iter().map(view).collect()
+    }
+
+    /// State for operators.
+    pub fn ops(&self, now: Timestamp) -> OpsView {
+        OpsView {
+            waiting: self.services.values().map(|svc| svc.waiting()).sum(),
+            requests: self.requests.len(),
+            operations: self.operations.entries(),
+            limits: self.ledger.keys().map(|key| self.limit_view(now, key)).collect(),
+        }
+    }
+
+    fn limit_view(&self, now: Timestamp, key: &LimitKey) -> LimitView {
+        let usable = self.ledger.usable(now, key);
+        let in_use = match key {
+            LimitKey::Slots(_) => usable.minus(self.ledger.free(now, key)),
+            _ => self.limits.mean_use(key),
+        };
+        LimitView { key: key.clone(), share: self.ledger.share(key), usable, in_use }
+    }
+
+    /// The daemons of the fleet and their addresses.
+    pub fn fleet_members(&self) -> &[FleetMember] {
+        &self.fleet.members
+    }
+
+    /// Backend servers whose health this daemon polls: those in whose home set it is.
+    pub fn polled(&self) -> Vec<(Backend, SocketAddr)> {
+        let mut polled = Vec::new();
+        for backend in self.services.values().flat_map(|svc| &svc.backends) {
+            if self.ledger.home_set(&backend.key).contains(&self.cfg.me.node) {
+                polled.push((backend.spec.name.clone(), backend.spec.address));
+            }
+        }
+        polled
+    }
+
+    /// Keys and revisions in force, for a fetch from another daemon.
+    pub fn config_summary(&self) -> Vec<KeyRevision> {
+        self.entries.summary()
+    }
+
+    /// Entries that are newer here than in the summary of another daemon.
+    pub fn config_missing_from(&self, summary: &[KeyRevision]) -> Vec<Entry> {
+        self.entries.missing_from(summary)
+    }
+
+    /// Keys that are held at a revision before `revision` and are not deleted.
+    pub fn config_keys_before(&self, revision: Revision) -> Vec<Box<str>> {
+        let held = self.entries.iter().filter(|e| e.value.is_some() && e.revision < revision);
+        held.map(|e| e.key.clone()).collect()
+    }
+
+    /// The services of the configuration.
+    pub fn service_specs(&self) -> Vec<ServiceSpec> {
+        self.services.values().map(|svc| svc.spec.clone()).collect()
+    }
+}
