--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -8,7 +8,7 @@
 
 use std::borrow::Borrow;
 use std::cmp::Ordering;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::ops::Bound;
 
@@ -174,13 +174,22 @@
 
     /// Entries that a daemon with this `summary` lacks or holds at an older revision, ordered by key.
     pub fn missing_from(&self, summary: &[KeyRevision]) -> Vec<Entry> {
-        let mut held: HashMap<&str, Revision> = HashMap::with_capacity(summary.len());
-        for item in summary {
-            let revision = held.entry(&item.key).or_insert(item.revision);
-            *revision = item.revision.max(*revision);
+        let mut held: Vec<(&str, Revision)> =
+            summary.iter().map(|item| (&*item.key, item.revision)).collect();
+        // A summary is ordered already unless its sender is faulty; sorting it again takes linear time then.
+        held.sort_unstable();
+        let mut held = held.into_iter().peekable();
+        let mut missing = Vec::new();
+        for entry in self.iter() {
+            let mut known = None;
+            while let Some((key, revision)) = held.next_if(|(key, _)| *key <= &*entry.key) {
+                known = (key == &*entry.key).then_some(revision);
+            }
+            if known < Some(entry.revision) {
+                missing.push(entry.clone());
+            }
         }
-        let lacks = |entry: &&Entry| held.get(&*entry.key).is_none_or(|held| *held < entry.revision);
-        self.iter().filter(lacks).cloned().collect()
+        missing
     }
 
     /// Entries whose keys begin with `prefix`, ordered by key, deletions included.
--- a/crates/state/src/operation/table.rs
+++ b/crates/state/src/operation/table.rs
@@ -15,7 +15,8 @@
 pub const RETENTION_MINUTES: u32 = 10;
 
 /// Bytes that an entry takes besides its texts and its answer: key, state, the share of its tree node that is
-/// unused, and allocator overhead.
+/// unused, and allocator overhead. With it the table counts 618 bytes for an entry with a body of 256 bytes; the
+/// resident set grows by 607 to 617 bytes per such entry (`benches/operation.rs`).
 const ENTRY_BYTES: usize = 320;
 
 /// Bounds of an [`OperationTable`].
