Parse caller keys as strictly as token suffixes

Cause: a caller key becomes part of a key in the key-value service and of an entry in memory. Change: a claim holds a CallerKey of 1 to 64 characters of a-z A-Z 0-9 . _ -. Conclusion: both names of an operation are bounded.

--- a/crates/state/src/operation/mod.rs
+++ b/crates/state/src/operation/mod.rs
@@ -24,4 +24,7 @@
 pub use handover::{Coverage, HandoverEntry, HandoverPart, HandoverTable, ImportError, Imported};
 pub use outcome::{Begin, OperationEnd, OperationRequest, RecordedAnswer, RefusedReason, UnknownReason};
 pub use table::{OperationConfig, OperationTable, RETENTION_MINUTES};
-pub use token::{Claim, IssueError, Issuer, Minute, OperationKey, SUFFIX_MAX_BYTES, Token, TokenError};
+pub use token::{
+    CallerKey, CallerKeyError, Claim, IssueError, Issuer, Minute, OperationKey, SUFFIX_MAX_BYTES, Token,
+    TokenError,
+};
--- a/crates/state/src/operation/token.rs
+++ b/crates/state/src/operation/token.rs
@@ -7,9 +7,14 @@
 
 use crate::id::{Boot, Customer, Incarnation, NodeId};
 
-/// Longest accepted suffix in bytes.
+/// Longest accepted suffix or caller key in bytes.
 pub const SUFFIX_MAX_BYTES: usize = 64;
 
+fn is_valid_name(s: &str) -> bool {
+    let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    (1..=SUFFIX_MAX_BYTES).contains(&s.len()) && s.bytes().all(valid)
+}
+
 /// Minutes since the Unix epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
 pub struct Minute(pub u32);
@@ -99,8 +104,7 @@
         let end_of_prefix = s.match_indices('-').nth(2).ok_or(TokenError)?.0;
         let (prefix, suffix) = (&s[..end_of_prefix], &s[end_of_prefix + 1..]);
         let Issuer { owner, issued } = prefix.parse().map_err(|_| TokenError)?;
-        let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
-        if suffix.is_empty() || suffix.len() > SUFFIX_MAX_BYTES || !suffix.bytes().all(valid) {
+        if !is_valid_name(suffix) {
             return Err(TokenError);
         }
         Ok(Self { owner, issued, suffix: suffix.into() })
@@ -121,11 +125,56 @@
     }
 }
 
-/// A key of the caller's own that has been claimed in the key-value service.
+/// A key of the caller's own: 1 to [`SUFFIX_MAX_BYTES`] characters of `a-z A-Z 0-9 . _ -`.
+///
+/// ```
+/// use medlarstair_state::operation::CallerKey;
+/// assert_eq!("Order-4711".parse::<CallerKey>().unwrap().as_str(), "Order-4711");
+/// assert!("orders/4711".parse::<CallerKey>().is_err());
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct CallerKey(Box<str>);
+
+impl CallerKey {
+    /// The key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The text is not a caller key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a caller key is 1 to {SUFFIX_MAX_BYTES} characters of a-z, A-Z, 0-9, '.', '_' and '-'")]
+pub struct CallerKeyError;
+
+impl FromStr for CallerKey {
+    type Err = CallerKeyError;
+
+    fn from_str(s: &str) -> Result<Self, CallerKeyError> {
+        if is_valid_name(s) { Ok(Self(s.into())) } else { Err(CallerKeyError) }
+    }
+}
+
+impl TryFrom<Box<str>> for CallerKey {
+    type Error = CallerKeyError;
+
+    fn try_from(s: Box<str>) -> Result<Self, CallerKeyError> {
+        s.parse()
+    }
+}
+
+impl From<CallerKey> for Box<str> {
+    fn from(key: CallerKey) -> Self {
+        key.0
+    }
+}
+
+/// A caller key that has been claimed in the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// The caller's key.
-    pub key: Box<str>,
+    pub key: CallerKey,
     /// The value that the service holds for the claim.
     pub issuer: Issuer,
 }
@@ -155,7 +204,7 @@
 
     /// The key of the operation that `claim` names.
     pub fn of_claim(customer: &Customer, claim: &Claim) -> Self {
-        Self { issuer: claim.issuer, customer: customer.clone(), claimed: true, name: claim.key.clone() }
+        Self { issuer: claim.issuer, customer: customer.clone(), claimed: true, name: claim.key.0.clone() }
     }
 
     /// Bytes of its texts.
--- a/crates/state/tests/operation.rs
+++ b/crates/state/tests/operation.rs
@@ -101,7 +101,7 @@
     let refused = Begin::Refused(RefusedReason::NameInUse);
     assert_eq!(table.inner.begin(Timestamp::ZERO, minute, &token, &other), refused);
     assert_eq!(table.inner.begin(Timestamp::ZERO, minute, &token, &req(8, "other")), Begin::Run);
-    let claim = Claim { key: "a".into(), issuer: table.inner.issuer(minute) };
+    let claim = Claim { key: "a".parse().unwrap(), issuer: table.inner.issuer(minute) };
     let claimed = |table: &mut Table, id| {
         table.inner.begin_claimed(minutes(table.at), Minute(START + table.at), &claim, &req(id, "acme"))
     };
