Use the caller key type through the request path

Cause: caller keys were plain text between HTTP and the key-value service, where they become part of a path. Change: the HTTP border parses them into CallerKey once. Conclusion: an invalid key is refused before any call to the service.

--- a/crates/coordination/src/claims.rs
+++ b/crates/coordination/src/claims.rs
@@ -8,7 +8,7 @@
 
 use medlarstair_state::id::Customer;
 use medlarstair_state::node::ClaimEnd;
-use medlarstair_state::operation::Issuer;
+use medlarstair_state::operation::{CallerKey, Issuer};
 use medlarstair_transport::kv::{Expect, LeaseId, Store, Written};
 
 /// Lifetime of the leases that claims are written under. Claims must not fill the service, and a key must not be used
@@ -38,7 +38,7 @@
     }
 
     /// Claims a key for `issuer`, or tells whose it is.
-    pub async fn claim(&self, customer: &Customer, key: &str, issuer: Issuer) -> ClaimEnd {
+    pub async fn claim(&self, customer: &Customer, key: &CallerKey, issuer: Issuer) -> ClaimEnd {
         let Some(lease) = self.lease().await else {
             return ClaimEnd::Unavailable;
         };
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -19,7 +19,7 @@
 use medlarstair_state::node::{
     ConfigSource, Dispatch, Effect, Event, IncomingRequest, Node, Notice, OpsView, ParsedEntry, Refusal, TICK,
 };
-use medlarstair_state::operation::{HandoverTable, Issuer, RecordedAnswer};
+use medlarstair_state::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer};
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::BootClock;
 use serde::{Deserialize, Serialize};
@@ -65,7 +65,7 @@
         /// The customer.
         customer: Customer,
         /// The key.
-        key: Box<str>,
+        key: CallerKey,
         /// The value to claim it with.
         issuer: Issuer,
     },
--- a/crates/coordination/src/http.rs
+++ b/crates/coordination/src/http.rs
@@ -14,6 +14,7 @@
 use medlarstair_state::id::{Customer, Fingerprint, Rank, Service};
 use medlarstair_state::model::MAX_RUN;
 use medlarstair_state::node::{Idempotency, LOOKUP_TTL, LookupEntry, Outcome, Reason, Refusal};
+use medlarstair_state::operation::CallerKey;
 use medlarstair_transport::backend::{BackendRequest, is_end_to_end};
 use rapidhash::v3::rapidhash_v3;
 use serde::Deserialize;
@@ -25,9 +26,6 @@
 /// Largest body of a request. Requests that may not be repeated travel between daemons in one frame.
 pub const BODY_MAX_BYTES: usize = 1 << 20;
 
-/// Longest idempotency key of a caller.
-const KEY_MAX_BYTES: usize = 64;
-
 /// What a worker shares among its handlers.
 #[derive(Clone)]
 pub struct WorkerState {
@@ -174,21 +172,8 @@
     if let Some(token) = parse_header(head, headers::TOKEN)? {
         return Ok(Idempotency::Token(token));
     }
-    match header_text(head, headers::KEY)? {
-        Some(key) if is_valid_key(key) => Ok(Idempotency::Key(key.into())),
-        Some(_) => Err(format!(
-            "{}: use 1 to {KEY_MAX_BYTES} characters of a-z, A-Z, 0-9, '.', '_' and '-'",
-            headers::KEY
-        )
-        .into()),
-        None => Ok(Idempotency::Missing),
-    }
-}
-
-/// Keys become part of a path at the key-value service.
-fn is_valid_key(key: &str) -> bool {
-    let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
-    (1..=KEY_MAX_BYTES).contains(&key.len()) && key.bytes().all(valid) && key != "." && key != ".."
+    let key = parse_header::<CallerKey>(head, headers::KEY)?;
+    Ok(key.map_or(Idempotency::Missing, Idempotency::Key))
 }
 
 /// Headers for the backend server. Those that medlarstair sets itself are left out.
--- a/crates/state/src/node/effect.rs
+++ b/crates/state/src/node/effect.rs
@@ -9,7 +9,7 @@
 use crate::id::{Backend, Customer, NodeId, RequestId};
 use crate::node::message::PeerMessage;
 use crate::node::notice::Notice;
-use crate::operation::{HandoverTable, Issuer, RecordedAnswer};
+use crate::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer};
 
 /// What is known about a request that has no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -136,7 +136,7 @@
         /// The customer.
         customer: Customer,
         /// The key.
-        key: Box<str>,
+        key: CallerKey,
         /// The value to claim it with.
         issuer: Issuer,
     },
--- a/crates/state/src/node/event.rs
+++ b/crates/state/src/node/event.rs
@@ -9,7 +9,7 @@
 use crate::id::{Backend, Customer, Fingerprint, Incarnation, NodeId, Rank, RequestId, Service};
 use crate::model::ConfigValue;
 use crate::node::message::PeerMessage;
-use crate::operation::{HandoverTable, Issuer, RecordedAnswer, Token};
+use crate::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer, Token};
 use crate::routing::{AttemptEnd, LoadReport};
 
 /// Whether and how a request may be sent again.
@@ -20,7 +20,7 @@
     /// It may run once; the token names its owner.
     Token(Token),
     /// It may run once; the caller brings only its own key.
-    Key(Box<str>),
+    Key(CallerKey),
     /// It may run once and has neither token nor key.
     Missing,
 }
