Recognise cut answers of backend servers

Cause: awc reports the end of the connection as the end of the body, so an answer of 5 out of 50 announced bytes was passed on as a whole one (found while writing the backend server stand-in). Ruled out: a check of Content-Length alone, since a missing last chunk stays invisible with awc. Change: requests to backend servers go through hyper, which reports both; awc stays for the platform. Tests cover cut, chunked, foreign, late and surplus answers, and connections after a timeout. Conclusion: only whole answers to the own request are passed on.

--- a/crates/coordination/src/call.rs
+++ b/crates/coordination/src/call.rs
@@ -9,7 +9,6 @@
 use actix::Addr;
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
-use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use medlarstair_protocol::stream::{ForwardedAnswer, ForwardedCall, ForwardedHeader};
@@ -19,7 +18,9 @@
 };
 use medlarstair_state::operation::RecordedAnswer;
 use medlarstair_state::routing::AttemptEnd;
-use medlarstair_transport::backend::{AnswerHead, AnswerStream, BackendClient, BackendRequest, CallEnd};
+use medlarstair_transport::backend::{
+    AnswerCut, AnswerHead, AnswerStream, BackendClient, BackendRequest, CallEnd,
+};
 use medlarstair_transport::kv::HttpStore;
 use tokio::sync::oneshot;
 
@@ -335,7 +336,7 @@
 }
 
 impl Stream for ReportedStream {
-    type Item = Result<Bytes, PayloadError>;
+    type Item = Result<Bytes, AnswerCut>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let next = std::task::ready!(self.stream.poll_next_unpin(cx));
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -3,6 +3,9 @@
 //! A connection carries one request at a time. After a timeout, a cancellation or an error it is closed, so that a late
 //! answer never reaches the next request. An answer is passed on as complete only if its length was announced and
 //! reached.
+//!
+//! The client is `hyper`: with `awc`, the test `only_whole_answers_to_the_own_request_are_passed_on` got an answer of 5 out
+//! of 50 announced bytes as a whole one.
 
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -11,13 +14,18 @@
 
 use actix_web::http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
-use awc::error::{PayloadError, SendRequestError};
-use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
 use futures_util::{Stream, StreamExt};
+use http_body_util::{BodyDataStream, BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use medlarstair_protocol::border::BackendHealth;
 use medlarstair_protocol::headers;
-use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
 
 /// Largest answer that is buffered as a whole. Larger ones are passed on while they arrive.
 pub const BUFFER_MAX_BYTES: usize = 256 << 10;
@@ -96,45 +104,51 @@
     },
 }
 
+/// The rest of a large answer did not arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("the answer of the backend server was cut")]
+pub struct AnswerCut;
+
 /// Rest of a large answer. Ends with an error if the answer is cut or the time is up.
 pub struct AnswerStream {
     first: Option<Bytes>,
-    rest: ClientResponse,
+    rest: BodyDataStream<Incoming>,
     deadline: Pin<Box<Sleep>>,
 }
 
 impl Stream for AnswerStream {
-    type Item = Result<Bytes, PayloadError>;
+    type Item = Result<Bytes, AnswerCut>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(first)));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(Some(Err(PayloadError::Incomplete(None))));
+            return Poll::Ready(Some(Err(AnswerCut)));
         }
-        self.rest.poll_next_unpin(cx)
+        self.rest.poll_next_unpin(cx).map_err(|_| AnswerCut)
     }
 }
 
-/// Client for backend servers. Belongs to one thread.
-#[derive(Clone)]
+/// Client for backend servers. Copies share their connections.
+#[derive(Debug, Clone)]
 pub struct BackendClient {
-    client: Client,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl BackendClient {
     /// A client whose connections leave from `source`, if given.
     pub fn new(source: Option<IpAddr>) -> Self {
-        let mut connector =
-            Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(KEEP_ALIVE).limit(CONNECTIONS_MAX);
-        if let Some(source) = source {
-            connector = connector.local_address(source);
-        }
-        // The budget of each call limits its time.
-        let client =
-            Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers();
-        Self { client: client.finish() }
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        connector.set_local_address(source);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(KEEP_ALIVE)
+            .pool_max_idle_per_host(CONNECTIONS_MAX)
+            .build(connector);
+        Self { client }
     }
 
     /// Sends a request and waits for its answer for at most `budget`. Dropping the future closes the connection.
@@ -146,34 +160,46 @@
         budget: Duration,
     ) -> CallEnd {
         let deadline = Instant::now() + budget;
-        let url = format!("http://{address}{}", req.path);
-        let mut out = self.client.request(req.method.clone(), url).no_decompress();
-        for (name, value) in &req.headers {
-            out = out.append_header((name.clone(), value.clone()));
-        }
-        out = out.insert_header((headers::REQUEST_ID, id));
-        out = out.insert_header((headers::DEADLINE_MS, budget.as_millis().to_string()));
-        let sent = match timeout_at(deadline, out.send_body(req.body.clone())).await {
+        let Some(out) = outgoing(address, id, req, budget) else {
+            return CallEnd::NotConnected;
+        };
+        let res = match timeout_at(deadline, self.client.request(out)).await {
             Ok(Ok(res)) => res,
-            Ok(Err(SendRequestError::Connect(_) | SendRequestError::Url(_))) => return CallEnd::NotConnected,
+            Ok(Err(e)) if e.is_connect() => return CallEnd::NotConnected,
             Ok(Err(_)) => return CallEnd::Broken { head_received: false },
             Err(_) => return CallEnd::TimedOut { head_received: false },
         };
-        read_answer(sent, id, deadline).await
+        read_answer(res, id, deadline).await
     }
 
     /// Asks a backend server for its health.
     pub async fn health(&self, address: SocketAddr) -> Option<BackendHealth> {
-        let url = format!("http://{address}/health");
-        let mut res = self.client.get(url).timeout(HEALTH_TIMEOUT).send().await.ok()?;
-        if res.status() != StatusCode::OK {
-            return None;
-        }
-        res.json().await.ok()
+        let out = Request::get(format!("http://{address}/health")).body(Full::default()).ok()?;
+        let ask = async {
+            let res = self.client.request(out).await.ok()?;
+            let body = res.into_body().collect().await.ok()?;
+            serde_json::from_slice(&body.to_bytes()).ok()
+        };
+        timeout(HEALTH_TIMEOUT, ask).await.ok()?
+    }
+}
+
+/// The request for the wire. `None` if the path is not valid, so that nothing can be sent.
+fn outgoing(
+    address: SocketAddr,
+    id: &str,
+    req: &BackendRequest,
+    budget: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let mut out = Request::builder().method(req.method.as_str()).uri(format!("http://{address}{}", req.path));
+    for (name, value) in &req.headers {
+        out = out.header(name.as_str(), value.as_bytes());
     }
+    out = out.header(headers::REQUEST_ID, id).header(headers::DEADLINE_MS, budget.as_millis().to_string());
+    out.body(Full::new(req.body.clone())).ok()
 }
 
-async fn read_answer(mut res: ClientResponse, id: &str, deadline: Instant) -> CallEnd {
+async fn read_answer(res: Response<Incoming>, id: &str, deadline: Instant) -> CallEnd {
     let echoed = res.headers().get(headers::REQUEST_ID);
     if echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes()) || !has_announced_end(&res) {
         return CallEnd::Broken { head_received: true };
@@ -181,10 +207,11 @@
     if res.headers().get(headers::OUTCOME).is_some_and(|o| o.as_bytes() == b"not-run") {
         return CallEnd::Shed;
     }
-    let head = AnswerHead { status: res.status(), headers: end_to_end(res.headers()) };
+    let head = answer_head(&res);
+    let mut rest = res.into_body().into_data_stream();
     let mut body = BytesMut::new();
     loop {
-        match timeout_at(deadline, res.next()).await {
+        match timeout_at(deadline, rest.next()).await {
             Ok(Some(Ok(chunk))) => body.extend_from_slice(&chunk),
             Ok(Some(Err(_))) => return CallEnd::Broken { head_received: true },
             Ok(None) => return CallEnd::Answer(head, body.freeze()),
@@ -192,27 +219,29 @@
         }
         if body.len() > BUFFER_MAX_BYTES {
             let deadline = Box::pin(sleep_until(deadline));
-            return CallEnd::Streaming(
-                head,
-                AnswerStream { first: Some(body.freeze()), rest: res, deadline },
-            );
+            return CallEnd::Streaming(head, AnswerStream { first: Some(body.freeze()), rest, deadline });
         }
     }
 }
 
 /// Without a length or chunks, a cut answer could not be told from a whole one.
-fn has_announced_end(res: &ClientResponse) -> bool {
-    let no_body = matches!(res.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+fn has_announced_end(res: &Response<Incoming>) -> bool {
+    let no_body = matches!(res.status().as_u16(), 204 | 304);
     let headers = res.headers();
-    no_body || headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+    no_body || headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
 }
 
-fn end_to_end(all: &HeaderMap) -> HeaderMap {
+fn answer_head(res: &Response<Incoming>) -> AnswerHead {
     let mut kept = HeaderMap::new();
-    for (name, value) in all {
-        if is_end_to_end(name) {
-            kept.append(name.clone(), HeaderValue::clone(value));
+    for (name, value) in res.headers() {
+        let name = HeaderName::from_bytes(name.as_str().as_bytes());
+        let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value.as_bytes())) else {
+            continue;
+        };
+        if is_end_to_end(&name) {
+            kept.append(name, value);
         }
     }
-    kept
+    let status = StatusCode::from_u16(res.status().as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    AnswerHead { status, headers: kept }
 }
--- /dev/null
+++ b/crates/transport/tests/backend.rs
@@ -0,0 +1,154 @@
+//! Answers of backend servers that must not be passed on as whole.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::http::Method;
+use actix_web::http::header::HeaderMap;
+use bytes::Bytes;
+use medlarstair_transport::backend::{BackendClient, BackendRequest, CallEnd};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// What the server sends on each connection, request by request; `None` closes the connection.
+type Script = Vec<Option<&'static str>>;
+
+/// Serves one connection per script. A new connection takes the next script.
+async fn serve(scripts: Vec<Script>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for answer in script {
+                let mut buf = [0; 4096];
+                if stream.read(&mut buf).await.unwrap_or(0) == 0 {
+                    break;
+                }
+                let Some(answer) = answer else {
+                    break;
+                };
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        }
+    });
+    address
+}
+
+async fn call(client: &BackendClient, address: SocketAddr, id: &str) -> CallEnd {
+    let request = BackendRequest {
+        method: Method::GET,
+        path: "/".into(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    client.call(address, id, &request, Duration::from_secs(2)).await
+}
+
+fn describe(end: &CallEnd) -> String {
+    match end {
+        CallEnd::Answer(head, body) => {
+            format!("answer {} {}", head.status.as_u16(), String::from_utf8_lossy(body))
+        }
+        CallEnd::Streaming(..) => "streaming".into(),
+        CallEnd::Shed => "shed".into(),
+        CallEnd::NotConnected => "not connected".into(),
+        CallEnd::Broken { head_received } => format!("broken, head received: {head_received}"),
+        CallEnd::TimedOut { head_received } => format!("timed out, head received: {head_received}"),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    answer: Option<&'static str>,
+    expected: &'static str,
+}
+
+const CASES: [Case; 8] = [
+    Case {
+        name: "whole",
+        answer: Some("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole"),
+        expected: "answer 200 whole",
+    },
+    Case {
+        name: "whole in chunks",
+        answer: Some("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+        expected: "answer 200 whole",
+    },
+    Case {
+        name: "shorter than announced",
+        answer: Some("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nshort"),
+        expected: "broken, head received: true",
+    },
+    Case {
+        name: "last chunk missing",
+        answer: Some("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n"),
+        expected: "broken, head received: true",
+    },
+    Case {
+        name: "no announced end",
+        answer: Some("HTTP/1.1 200 OK\r\n\r\nshort?"),
+        expected: "broken, head received: true",
+    },
+    Case {
+        name: "another request's answer",
+        answer: Some("HTTP/1.1 200 OK\r\nmedlar-request-id: 8\r\ncontent-length: 5\r\n\r\nother"),
+        expected: "broken, head received: true",
+    },
+    Case { name: "closed without an answer", answer: None, expected: "broken, head received: false" },
+    Case {
+        name: "not run",
+        answer: Some("HTTP/1.1 503 Busy\r\nmedlar-outcome: not-run\r\ncontent-length: 0\r\n\r\n"),
+        expected: "shed",
+    },
+];
+
+/// Guards against a cut or foreign answer that is passed on as the whole answer to the request.
+#[actix_rt::test]
+async fn only_whole_answers_to_the_own_request_are_passed_on() {
+    for case in &CASES {
+        let address = serve(vec![vec![case.answer]]).await;
+        let end = call(&BackendClient::new(None), address, "7").await;
+        assert_eq!(describe(&end), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a late second answer on a connection that is passed on to the next request.
+#[actix_rt::test]
+async fn surplus_answer_never_reaches_the_next_request() {
+    let twice =
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirstHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+    let next = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnext";
+    let address = serve(vec![vec![Some(twice), Some(next)], vec![Some(next)]]).await;
+    let client = BackendClient::new(None);
+    assert_eq!(describe(&call(&client, address, "1").await), "answer 200 first");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(describe(&call(&client, address, "2").await), "answer 200 next");
+}
+
+/// Guards against a request on a connection whose earlier request timed out: its late answer would be taken for the
+/// answer to the new request.
+#[actix_rt::test]
+async fn connection_is_not_reused_after_a_timeout() {
+    let next = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnext";
+    let address = serve(vec![vec![Some("HTTP/1.1 200 OK\r\n"), None], vec![Some(next)]]).await;
+    let client = BackendClient::new(None);
+    let request = BackendRequest {
+        method: Method::GET,
+        path: "/".into(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let first = client.call(address, "1", &request, Duration::from_millis(50)).await;
+    assert_eq!(describe(&first), "timed out, head received: false");
+    assert_eq!(describe(&call(&client, address, "2").await), "answer 200 next");
+}
+
+/// Guards against a refused connection that is reported as if a byte might have been sent.
+#[actix_rt::test]
+async fn refused_connection_is_not_connected() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(describe(&call(&BackendClient::new(None), address, "1").await), "not connected");
+}
