Decide about operations before any limit, and do not let a suspect hold up others

Cause: a resend of an operation that has run could be refused by the rate, a stop or an outage of the key-value service as not run, which a script would read as permission to place the order again. A refused or running suspect held up all other lone requests, and an arbiter that had missed the evidence ran a forwarded suspect like any other request. Change: the operation table is asked first and limits apply only to operations that are about to run; claimed keys are remembered for the table's retention; joined requests end at their own deadline; suspects are tried one by one; evidence travels with a forwarded request; a stopping daemon names all owners that it hands over and forwards resends meanwhile. Conclusion: 'not run' is said of an operation only if the table has no earlier run of it.

--- a/crates/coordination/src/call.rs
+++ b/crates/coordination/src/call.rs
@@ -17,6 +17,7 @@
     Dispatch, Event, ForwardEnd, Idempotency, IncomingRequest, Outcome, Reason, Refusal,
 };
 use medlarstair_state::operation::RecordedAnswer;
+use medlarstair_state::quarantine::Evidence;
 use medlarstair_state::routing::AttemptEnd;
 use medlarstair_transport::backend::{
     AnswerCut, AnswerHead, AnswerStream, BackendClient, BackendRequest, CallEnd,
@@ -48,6 +49,8 @@
     pub request: BackendRequest,
     /// Whether another daemon sent it here as the owner or arbiter.
     pub forwarded: bool,
+    /// Crash evidence that came with a forwarded request.
+    pub evidence: Option<Evidence>,
 }
 
 /// Answer to a request.
@@ -116,7 +119,7 @@
                     let end = self.caller.claims.claim(&customer, &key, issuer).await;
                     self.report(Event::ClaimEnded { request: self.id, end }).await
                 }
-                Step::Forward { to, budget } => self.forward(to, budget).await,
+                Step::Forward { to, budget, evidence } => self.forward(to, budget, evidence).await,
                 Step::Dispatch(dispatch) => match self.attempt(dispatch).await {
                     Attempted::Ended(event) => self.report(event).await,
                     Attempted::Streaming(answer) => return answer,
@@ -139,6 +142,7 @@
             fingerprint: self.call.fingerprint,
             body_bytes: u32::try_from(self.call.request.body.len()).unwrap_or(u32::MAX),
             forwarded: self.call.forwarded,
+            evidence: self.call.evidence.clone(),
         }
     }
 
@@ -187,10 +191,15 @@
         Event::AttemptEnded { request: self.id, end, head_received: true, response_bytes, answer }
     }
 
-    async fn forward(&mut self, to: PeerAddress, budget: Duration) -> Option<Step> {
+    async fn forward(
+        &mut self,
+        to: PeerAddress,
+        budget: Duration,
+        evidence: Option<Evidence>,
+    ) -> Option<Step> {
         self.sent = true;
         let (tx, rx) = oneshot::channel();
-        let call = Box::new(self.forwarded_call(budget));
+        let call = Box::new(self.forwarded_call(budget, evidence));
         self.caller.engine.do_send(ForwardTo { to, call, budget, tx });
         let end = match rx.await {
             Ok(answer) => {
@@ -202,7 +211,7 @@
         self.report(Event::ForwardEnded { request: self.id, end }).await
     }
 
-    fn forwarded_call(&self, budget: Duration) -> ForwardedCall {
+    fn forwarded_call(&self, budget: Duration, evidence: Option<Evidence>) -> ForwardedCall {
         let call = &self.call;
         ForwardedCall {
             customer: call.customer.clone(),
@@ -211,6 +220,7 @@
             deadline_ms: u32::try_from(budget.as_millis()).unwrap_or(u32::MAX),
             idempotency: call.idempotency.clone(),
             fingerprint: call.fingerprint,
+            evidence,
             method: call.request.method.as_str().into(),
             path: call.request.path.clone(),
             headers: forwarded_headers(&call.request.headers),
@@ -310,6 +320,7 @@
         fingerprint: call.fingerprint,
         request,
         forwarded: true,
+        evidence: call.evidence,
     })
 }
 
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -20,6 +20,7 @@
     ConfigSource, Dispatch, Effect, Event, IncomingRequest, Node, Notice, OpsView, ParsedEntry, Refusal, TICK,
 };
 use medlarstair_state::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer};
+use medlarstair_state::quarantine::Evidence;
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::BootClock;
 use serde::{Deserialize, Serialize};
@@ -59,6 +60,8 @@
         to: PeerAddress,
         /// Time after which no answer is awaited.
         budget: Duration,
+        /// Crash evidence to send along.
+        evidence: Option<Evidence>,
     },
     /// Claim the caller's key in the key-value service.
     Claim {
@@ -284,7 +287,7 @@
                 self.step(request, Step::Refuse(refusal));
             }
             Effect::Replay { request, answer } => self.step(request, Step::Replay(answer)),
-            Effect::Forward { request, to, budget } => self.forward(request, to, budget),
+            Effect::Forward { request, to, budget, evidence } => self.forward(request, to, budget, evidence),
             Effect::Claim { request, customer, key, issuer } => {
                 self.step(request, Step::Claim { customer, key, issuer });
             }
@@ -318,9 +321,9 @@
         Some(PeerAddress { node, address: member.peer_address })
     }
 
-    fn forward(&mut self, request: RequestId, to: NodeId, budget: Duration) {
+    fn forward(&mut self, request: RequestId, to: NodeId, budget: Duration, evidence: Option<Evidence>) {
         match self.peer(to) {
-            Some(to) => self.step(request, Step::Forward { to, budget }),
+            Some(to) => self.step(request, Step::Forward { to, budget, evidence }),
             // Dropping the sender tells the worker that there is no next step.
             None => drop(self.steps.remove(&request)),
         }
--- a/crates/coordination/src/http.rs
+++ b/crates/coordination/src/http.rs
@@ -128,7 +128,17 @@
     let idempotency = parse_idempotency(req, head)?;
     let fingerprint = fingerprint(&customer, &service, req.method().as_str(), &path, &body);
     let request = BackendRequest { method: req.method().clone(), path, headers: passed_on(head), body };
-    Ok(Call { customer, service, rank, deadline, idempotency, fingerprint, request, forwarded: false })
+    Ok(Call {
+        customer,
+        service,
+        rank,
+        deadline,
+        idempotency,
+        fingerprint,
+        request,
+        forwarded: false,
+        evidence: None,
+    })
 }
 
 /// Path and query at the backend server: what follows customer and service.
--- a/crates/protocol/src/stream.rs
+++ b/crates/protocol/src/stream.rs
@@ -4,6 +4,7 @@
 use medlarstair_state::id::{Customer, Fingerprint, Rank, Service};
 use medlarstair_state::node::{Idempotency, Refusal};
 use medlarstair_state::operation::{HandoverTable, RecordedAnswer};
+use medlarstair_state::quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 
 /// One HTTP header.
@@ -30,6 +31,8 @@
     pub idempotency: Idempotency,
     /// Hash of its content.
     pub fingerprint: Fingerprint,
+    /// Crash evidence against the request.
+    pub evidence: Option<Evidence>,
     /// HTTP method.
     pub method: Box<str>,
     /// Path and query at the backend server.
--- a/crates/state/src/node/effect.rs
+++ b/crates/state/src/node/effect.rs
@@ -10,6 +10,7 @@
 use crate::node::message::PeerMessage;
 use crate::node::notice::Notice;
 use crate::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer};
+use crate::quarantine::Evidence;
 
 /// What is known about a request that has no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -128,6 +129,8 @@
         to: NodeId,
         /// Time after which no answer is awaited.
         budget: Duration,
+        /// Crash evidence to send along, since the daemon may have missed it.
+        evidence: Option<Evidence>,
     },
     /// Claim the caller's key in the key-value service.
     Claim {
--- a/crates/state/src/node/event.rs
+++ b/crates/state/src/node/event.rs
@@ -10,6 +10,7 @@
 use crate::model::ConfigValue;
 use crate::node::message::PeerMessage;
 use crate::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer, Token};
+use crate::quarantine::Evidence;
 use crate::routing::{AttemptEnd, LoadReport};
 
 /// Whether and how a request may be sent again.
@@ -46,6 +47,8 @@
     pub body_bytes: u32,
     /// Whether another daemon sent it here as the owner or arbiter.
     pub forwarded: bool,
+    /// Crash evidence that came with a forwarded request.
+    pub evidence: Option<Evidence>,
 }
 
 /// How an attempt to forward a request to its owner ended.
--- a/crates/state/src/node/message.rs
+++ b/crates/state/src/node/message.rs
@@ -29,8 +29,8 @@
     Evidence(Evidence),
     /// A daemon has stopped; another answers for its operations.
     Leaving {
-        /// Whose operations.
-        owner: Incarnation,
+        /// Whose operations: the sender's own, and those that it had taken over.
+        owners: Vec<Incarnation>,
         /// Who answers for them.
         successor: NodeId,
     },
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -42,14 +42,14 @@
 use crate::ledger::{Ledger, LoanId};
 use crate::membership::{Liveness, Membership, MembershipConfig};
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
-use crate::operation::{Minute, OperationConfig, OperationTable};
+use crate::operation::{Issuer, Minute, OperationConfig, OperationTable};
 use crate::quarantine::Quarantine;
 use crate::routing::{Policy, Routing, TwoChoices};
 use crate::time::Timestamp;
 
 use borrowing::Asked;
 use limits::Limits;
-use requests::Pending;
+use requests::{ClaimName, Pending};
 use service::ServiceState;
 use status::Status;
 use stopping::StopPhase;
@@ -106,10 +106,14 @@
     accepting: BTreeMap<Backend, bool>,
     fetches: BTreeMap<NodeId, Timestamp>,
     asked: BTreeMap<LoanId, Asked>,
+    claimed: BTreeMap<ClaimName, Issuer>,
+    joined: BTreeSet<RequestId>,
     status: Status,
     watching: bool,
     vms_seen: BTreeSet<NodeId>,
     stop: StopPhase,
+    /// Whose operations went to the successor.
+    handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
     next_refresh: Timestamp,
 }
@@ -139,10 +143,13 @@
             accepting: BTreeMap::new(),
             fetches: BTreeMap::new(),
             asked: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            joined: BTreeSet::new(),
             status: Status::default(),
             watching: false,
             vms_seen: BTreeSet::new(),
             stop: StopPhase::Serving,
+            handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
             cfg,
@@ -197,6 +204,7 @@
         }
         self.next_refresh = now + REFRESH;
         self.operations.expire(now);
+        self.expire_claims(now);
         self.quarantine.expire(now);
         self.refresh_limits(now);
         self.note_accepting(now, out);
--- a/crates/state/src/node/peers.rs
+++ b/crates/state/src/node/peers.rs
@@ -39,8 +39,12 @@
                 self.ledger.on_audit_answer(now, &answer);
             }
             PeerMessage::Evidence(evidence) => self.quarantine.merge(now, &evidence),
-            PeerMessage::Leaving { owner, successor } if owner == from && successor != self.cfg.me.node => {
-                self.operations.set_successor(owner, successor);
+            PeerMessage::Leaving { owners, successor }
+                if owners.first() == Some(&from) && successor != self.cfg.me.node =>
+            {
+                for owner in owners {
+                    self.operations.set_successor(owner, successor);
+                }
             }
             _ => {}
         }
--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -5,13 +5,14 @@
 use crate::admission::{Offered, Ticket};
 use crate::id::{Backend, Customer, Incarnation, NodeId, RequestId, Service};
 use crate::ledger::Hold;
-use crate::model::ServiceTerms;
+use crate::model::{MAX_RUN, ServiceTerms};
 use crate::node::limits::rate_key;
 use crate::node::{
     ClaimEnd, Effect, ForwardEnd, Idempotency, IncomingRequest, Node, Notice, Outcome, Reason, Refusal,
 };
 use crate::operation::{
-    Begin, Claim, OperationEnd, OperationRequest, RecordedAnswer, RefusedReason, UnknownReason,
+    Begin, CallerKey, Claim, OperationEnd, OperationRequest, RETENTION_MINUTES, RecordedAnswer,
+    RefusedReason, UnknownReason,
 };
 use crate::quarantine::{RunStart, Verdict};
 use crate::routing::{AttemptEnd, Policy};
@@ -40,6 +41,13 @@
     pub(super) started: Timestamp,
 }
 
+/// A caller's key that this daemon has claimed.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ClaimName {
+    customer: Customer,
+    key: CallerKey,
+}
+
 /// A request that this daemon holds.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -83,37 +91,42 @@
 
     pub(super) fn on_request(&mut self, now: Timestamp, req: IncomingRequest, out: &mut Vec<Effect>) {
         let id = req.id;
-        let refusal = match self.check_contract(now, &req) {
-            Ok(deadline) => {
-                self.requests.insert(id, Pending::new(req, deadline));
-                return self.begin_request(now, id, out);
-            }
-            Err(refusal) => refusal,
-        };
-        out.push(Effect::Refuse { request: id, refusal });
+        if let Some(evidence) = &req.evidence {
+            self.quarantine.merge(now, evidence);
+        }
+        let deadline = now + req.deadline.min(MAX_RUN);
+        self.requests.insert(id, Pending::new(req, deadline));
+        self.begin_request(now, id, out);
     }
 
-    fn check_contract(&mut self, now: Timestamp, req: &IncomingRequest) -> Result<Timestamp, Refusal> {
-        if self.stop.refuses_requests() {
-            return Err(not_run(Reason::Stopping, Some(Duration::ZERO)));
-        }
+    /// Checks a request that is about to be queued, and returns its deadline.
+    fn check_contract(&mut self, now: Timestamp, id: RequestId) -> Result<Timestamp, Refusal> {
+        let req = &self.requests[&id].req;
         let terms = self.terms(&req.customer, &req.service).ok_or(not_run(Reason::NoContract, None))?;
         let deadline = now + req.deadline.min(terms.max_deadline);
         if !self.services.contains_key(&req.service) {
             return Err(not_run(Reason::NoService, None));
         }
-        // A forwarded request has been counted by the daemon that it reached first.
+        let is_repeatable = req.idempotency == Idempotency::Repeatable;
+        if is_repeatable && self.stop.refuses_requests() {
+            return Err(not_run(Reason::Stopping, Some(Duration::ZERO)));
+        }
+        // A repeatable request that was forwarded has been counted by the daemon that it reached first.
+        if req.forwarded && is_repeatable {
+            return Ok(deadline);
+        }
         let key = rate_key(&req.customer, &req.service);
-        if !req.forwarded && !self.limits.take(now, &key, 1) {
+        if !self.limits.take(now, &key, 1) {
             return Err(not_run(Reason::RateLimit, Some(self.limits.wait(now, &key, 1))));
         }
         Ok(deadline)
     }
 
+    /// The operation table comes before any limit: a resend of an operation that has run must not be told "not run".
     fn begin_request(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
         let pending = &self.requests[&id];
         match pending.req.idempotency.clone() {
-            Idempotency::Repeatable => self.screen(now, id, out),
+            Idempotency::Repeatable => self.admit(now, id, out),
             Idempotency::Missing => self.refuse(now, id, not_run(Reason::TokenRequired, None), out),
             Idempotency::Token(token) => {
                 let minute = self.minute(now);
@@ -121,6 +134,10 @@
                 self.on_begin(now, id, begin, out);
             }
             Idempotency::Key(key) => {
+                let name = ClaimName { customer: pending.req.customer.clone(), key: key.clone() };
+                if let Some(issuer) = self.claimed.get(&name).copied() {
+                    return self.on_claim_ended(now, id, &ClaimEnd::Owned(issuer), out);
+                }
                 if !self.claims.take(now, 1) {
                     let wait = self.claims.wait(now, 1);
                     return self.refuse(now, id, not_run(Reason::ClaimBudget, Some(wait)), out);
@@ -152,6 +169,10 @@
             return;
         };
         let (claim, req) = (Claim { key, issuer }, operation_request(&pending.req));
+        if issuer.owner == self.cfg.me {
+            let name = ClaimName { customer: req.customer.clone(), key: claim.key.clone() };
+            self.claimed.insert(name, issuer);
+        }
         let begin = self.operations.begin_claimed(now, self.minute(now), &claim, &req);
         self.on_begin(now, id, begin, out);
     }
@@ -162,10 +183,12 @@
                 if let Some(pending) = self.requests.get_mut(&id) {
                     pending.owns_operation = true;
                 }
-                self.screen(now, id, out);
+                self.admit(now, id, out);
             }
             // The request that runs answers this one as well.
-            Begin::Join => {}
+            Begin::Join => {
+                self.joined.insert(id);
+            }
             Begin::Answer(answer) => {
                 self.requests.remove(&id);
                 out.push(Effect::Replay { request: id, answer });
@@ -204,8 +227,9 @@
     }
 
     fn forward(&mut self, now: Timestamp, id: RequestId, to: NodeId, out: &mut Vec<Effect>) {
-        let budget = self.requests[&id].deadline.since(now);
-        out.push(Effect::Forward { request: id, to, budget });
+        let Pending { req, deadline, .. } = &self.requests[&id];
+        let evidence = self.quarantine.evidence(now, req.fingerprint);
+        out.push(Effect::Forward { request: id, to, budget: deadline.since(now), evidence });
     }
 
     pub(super) fn on_forward_ended(
@@ -224,16 +248,25 @@
         }
     }
 
+    fn admit(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
+        match self.check_contract(now, id) {
+            Ok(deadline) => {
+                if let Some(pending) = self.requests.get_mut(&id) {
+                    pending.deadline = deadline;
+                }
+                self.screen(now, id, out);
+            }
+            Err(refusal) => self.refuse(now, id, refusal, out),
+        }
+    }
+
     /// Holds back requests that have crashed backend servers.
     fn screen(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
         let req = &self.requests[&id].req;
         let fingerprint = req.fingerprint;
         match self.quarantine.check(now, fingerprint) {
             Verdict::Clear => self.enqueue(now, id, out),
-            Verdict::Refused { until } => {
-                out.push(Effect::Notice(Notice::Quarantined { request: id, fingerprint }));
-                self.refuse(now, id, not_run(Reason::Quarantined, Some(until.since(now))), out);
-            }
+            Verdict::Refused { until } => self.refuse_quarantined(now, id, until, out),
             Verdict::RunAlone { arbiter } => {
                 // An operation stays with its owner: a second daemon must not run it.
                 let stays = arbiter == self.cfg.me.node || req.forwarded || self.requests[&id].owns_operation;
@@ -248,6 +281,18 @@
         }
     }
 
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        until: Timestamp,
+        out: &mut Vec<Effect>,
+    ) {
+        let fingerprint = self.requests[&id].req.fingerprint;
+        out.push(Effect::Notice(Notice::Quarantined { request: id, fingerprint }));
+        self.refuse(now, id, not_run(Reason::Quarantined, Some(until.since(now))), out);
+    }
+
     fn enqueue_alone(&mut self, now: Timestamp, id: RequestId, out: &mut Vec<Effect>) {
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
@@ -294,6 +339,23 @@
         for id in expired {
             self.refuse(now, id, not_run(Reason::DeadlineBeforeStart, Some(RETRY_SOON)), out);
         }
+        self.expire_joined(now, out);
+    }
+
+    /// Answers requests that waited for another one with the same token, beyond their own deadline.
+    fn expire_joined(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
+        let requests = &self.requests;
+        let late = self.joined.extract_if(.., |id| requests.get(id).is_none_or(|p| p.deadline <= now));
+        for id in late.collect::<Vec<_>>() {
+            self.operations.leave(id);
+            self.refuse(now, id, unknown(Reason::DeadlineWhileRunning), out);
+        }
+    }
+
+    /// Forgets claims whose operations the table has forgotten.
+    pub(super) fn expire_claims(&mut self, now: Timestamp) {
+        let minute = self.minute(now);
+        self.claimed.retain(|_, issuer| issuer.issued.plus(RETENTION_MINUTES) > minute);
     }
 
     /// Answers a request, and those that wait for the same operation, with a refusal.
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -8,6 +8,7 @@
 use crate::node::requests::Attempt;
 use crate::node::service::LateHold;
 use crate::node::{Dispatch, Effect, Node};
+use crate::quarantine::Verdict;
 use crate::routing::{AttemptEnd, Candidate, Policy};
 use crate::time::Timestamp;
 
@@ -60,35 +61,50 @@
         }
     }
 
+    /// Starts suspected requests, each alone on a backend server. One that cannot start does not hold up the others.
     fn start_alone(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
-        while let Some(id) = self.services.get(service).and_then(|svc| svc.alone.front().copied()) {
-            let Some(backend) = self.idle_backend(now, service) else {
-                return;
-            };
-            let Some(pending) = self.requests.get(&id) else {
-                self.drop_alone(service);
-                continue;
-            };
-            let fingerprint = pending.req.fingerprint;
-            let Some(run_start) = self.quarantine.start_alone(now, fingerprint) else {
-                return;
-            };
-            let units = self.free_on(now, service, &backend);
-            if !self.start_on(now, id, &backend, units, out) {
-                self.quarantine.finish_alone(fingerprint);
-                return;
-            }
-            if let Some(pending) = self.requests.get_mut(&id) {
-                pending.run_start = Some(run_start);
+        let Some(svc) = self.services.get_mut(service) else {
+            return;
+        };
+        for id in std::mem::take(&mut svc.alone) {
+            let waits = !self.start_one_alone(now, id, service, out);
+            if let Some(svc) = self.services.get_mut(service).filter(|_| waits) {
+                svc.alone.push_back(id);
             }
-            self.drop_alone(service);
         }
     }
 
-    fn drop_alone(&mut self, service: &Service) {
-        if let Some(svc) = self.services.get_mut(service) {
-            svc.alone.pop_front();
+    /// False if the request must wait.
+    fn start_one_alone(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        service: &Service,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(pending) = self.requests.get(&id) else {
+            return true;
+        };
+        let fingerprint = pending.req.fingerprint;
+        if let Verdict::Refused { until } = self.quarantine.check(now, fingerprint) {
+            self.refuse_quarantined(now, id, until, out);
+            return true;
+        }
+        let Some(backend) = self.idle_backend(now, service) else {
+            return false;
+        };
+        let Some(run_start) = self.quarantine.start_alone(now, fingerprint) else {
+            return false;
+        };
+        let units = self.free_on(now, service, &backend);
+        if !self.start_on(now, id, &backend, units, out) {
+            self.quarantine.finish_alone(fingerprint);
+            return false;
         }
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.run_start = Some(run_start);
+        }
+        true
     }
 
     /// A backend server of the own region on which this daemon runs nothing.
--- a/crates/state/src/node/stopping.rs
+++ b/crates/state/src/node/stopping.rs
@@ -67,6 +67,7 @@
             StopPhase::Serving | StopPhase::Ended => {}
             StopPhase::Leaving { until } => {
                 if now >= until {
+                    self.operations.stop();
                     self.stop = StopPhase::Finishing;
                 }
             }
@@ -95,7 +96,10 @@
             return;
         };
         match self.operations.export(now, self.minute(now), successor) {
-            Some(table) => out.push(Effect::Handover { to, parts: table.split(HANDOVER_PART_BYTES) }),
+            Some(table) => {
+                self.handed_over = table.covers.iter().map(|c| c.owner).collect();
+                out.push(Effect::Handover { to, parts: table.split(HANDOVER_PART_BYTES) });
+            }
             // The table went to another daemon before, whose acknowledgement may be lost.
             None => self.end(out),
         }
@@ -129,6 +133,9 @@
         if !matches!(self.stop, StopPhase::HandingOver { .. }) {
             return;
         }
+        for owner in &self.handed_over {
+            self.operations.set_successor(*owner, successor);
+        }
         self.stop = StopPhase::Announcing { successor, left: ANNOUNCEMENTS };
         out.push(Effect::Notice(Notice::HandedOver { successor }));
     }
@@ -139,7 +146,7 @@
         }
         self.stop = StopPhase::Announcing { successor, left: left - 1 };
         for member in self.fleet.members.iter().filter(|m| m.node != self.cfg.me.node) {
-            let message = PeerMessage::Leaving { owner: self.cfg.me, successor };
+            let message = PeerMessage::Leaving { owners: self.handed_over.clone(), successor };
             out.push(Effect::Send { to: member.node, message });
         }
     }
--- a/crates/state/src/operation/token.rs
+++ b/crates/state/src/operation/token.rs
@@ -132,7 +132,7 @@
 /// assert_eq!("Order-4711".parse::<CallerKey>().unwrap().as_str(), "Order-4711");
 /// assert!("orders/4711".parse::<CallerKey>().is_err());
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(try_from = "Box<str>", into = "Box<str>")]
 pub struct CallerKey(Box<str>);
 
