--- a/crates/coordination/src/daemon.rs
+++ b/crates/coordination/src/daemon.rs
@@ -22,7 +22,7 @@
 
 use crate::call::Caller;
 use crate::claims::Claims;
-use crate::engine::{Engine, EngineConfig, Feed, SetWatcher};
+use crate::engine::{Engine, EngineConfig, Feed, SetStore};
 use crate::health::{HealthPoller, PollClients};
 use crate::http::{self, WorkerState};
 use crate::metrics::Metrics;
@@ -123,7 +123,8 @@
         let store = HttpStore::new(&self.settings.store, self.settings.source);
         actix_rt::spawn(load_first(self.engine.clone(), store.clone(), self.settings.seeds.clone()));
         let watcher = ConfigWatcher::new(self.engine.clone(), store).start();
-        self.engine.do_send(SetWatcher(watcher.recipient()));
+        self.engine
+            .do_send(SetStore { watches: watcher.clone().recipient(), proposals: watcher.recipient() });
         let clients = PollClients {
             backends: BackendClient::new(self.settings.source),
             platform: platform_client(self.settings.source),
--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/drain.rs
@@ -1,6 +1,7 @@
 //! The headroom check of a drain plan.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use derive_more::Display;
 use futures_util::future::join_all;
@@ -11,6 +12,9 @@
 /// Part of the remaining slots, in percent, that the present load may fill.
 const LOAD_MAX: u32 = 90;
 
+/// Time for the load report of a backend server. An operator can wait longer than a periodic poll.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Whether a drain leaves enough headroom.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum DrainCheck {
@@ -66,7 +70,7 @@
 }
 
 async fn check_service(client: &BackendClient, spec: &ServiceSpec, scope: &DrainScope) -> DrainCheck {
-    let ask = |backend: &BackendSpec| client.health(backend.address);
+    let ask = |backend: &BackendSpec| client.health(backend.address, REPORT_TIMEOUT);
     let reports = join_all(spec.backends.iter().map(ask)).await;
     let mut regions = BTreeMap::<&Region, RegionLoad>::new();
     let mut unknown = 0;
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -12,10 +12,11 @@
 
 use actix::prelude::*;
 use medlarstair_protocol::border::TimelineEvent;
-use medlarstair_protocol::convert::parse_value;
+use medlarstair_protocol::convert::{fleet_value, parse_value};
 use medlarstair_protocol::stream::{ForwardedAnswer, ForwardedCall, StreamAnswer, StreamRequest};
 use medlarstair_state::config::{Entry, KeyRevision};
 use medlarstair_state::id::{Backend, Customer, NodeId, RequestId, Revision};
+use medlarstair_state::model::Fleet;
 use medlarstair_state::node::{
     ConfigSource, Dispatch, Effect, Event, IncomingRequest, Node, Notice, OpsView, ParsedEntry, Refusal, TICK,
 };
@@ -224,16 +225,33 @@
     trace: Option<BufWriter<File>>,
     exit: Option<oneshot::Sender<()>>,
     steps: HashMap<RequestId, oneshot::Sender<Step>>,
-    watcher: Option<Recipient<Watch>>,
+    store: Option<SetStore>,
     watching: bool,
     accepted_handover: bool,
     published: Timestamp,
 }
 
-/// Tells the engine which part watches the key-value service.
+/// Writes a value to the key-value service if the key still has the expected revision.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct SetWatcher(pub Recipient<Watch>);
+pub struct Propose {
+    /// The key.
+    pub key: Box<str>,
+    /// The value.
+    pub value: Box<str>,
+    /// The expected revision.
+    pub expect: Revision,
+}
+
+/// Tells the engine which part talks to the key-value service.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetStore {
+    /// Watches it.
+    pub watches: Recipient<Watch>,
+    /// Writes to it.
+    pub proposals: Recipient<Propose>,
+}
 
 impl Engine {
     /// An engine that is ready to start.
@@ -250,7 +268,7 @@
             trace: cfg.trace.map(BufWriter::new),
             exit: Some(cfg.exit),
             steps: HashMap::new(),
-            watcher: None,
+            store: None,
             watching: false,
             accepted_handover: false,
             published: Timestamp::ZERO,
@@ -298,6 +316,7 @@
             }
             Effect::FetchConfig { from } => self.fetch_config(from, cx),
             Effect::Handover { to, parts } => self.hand_over(to, parts, cx),
+            Effect::ProposeFleet { fleet, expect } => self.propose_fleet(&fleet, expect),
             Effect::AcceptHandover => self.accepted_handover = true,
             Effect::Watch(watch) => self.watch(watch),
             Effect::Notice(notice) => self.note(&notice),
@@ -380,10 +399,20 @@
         }));
     }
 
+    fn propose_fleet(&self, fleet: &Fleet, expect: Revision) {
+        let change_id = format!("fleet-{}-{}", self.link.me(), self.clock.now().0);
+        let Ok(value) = serde_json::to_string(&fleet_value(fleet, &change_id)) else {
+            return;
+        };
+        if let Some(store) = &self.store {
+            store.proposals.do_send(Propose { key: "config/fleet".into(), value: value.into(), expect });
+        }
+    }
+
     fn watch(&mut self, watch: bool) {
         self.watching = watch;
-        if let Some(watcher) = &self.watcher {
-            watcher.do_send(Watch(watch));
+        if let Some(store) = &self.store {
+            store.watches.do_send(Watch(watch));
         }
     }
 
@@ -553,12 +582,12 @@
     }
 }
 
-impl Handler<SetWatcher> for Engine {
+impl Handler<SetStore> for Engine {
     type Result = ();
 
-    fn handle(&mut self, SetWatcher(watcher): SetWatcher, _: &mut Self::Context) {
-        watcher.do_send(Watch(self.watching));
-        self.watcher = Some(watcher);
+    fn handle(&mut self, store: SetStore, _: &mut Self::Context) {
+        store.watches.do_send(Watch(self.watching));
+        self.store = Some(store);
     }
 }
 
--- a/crates/coordination/src/health.rs
+++ b/crates/coordination/src/health.rs
@@ -21,6 +21,9 @@
 /// Polls of the VM list per health polls.
 const POLLS_PER_VM_LIST: u32 = 3;
 
+/// Time for a health request. A later report would be stale.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time for a request of the VM list.
 const VM_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -63,7 +66,7 @@
                 let (engine, client) = (engine.clone(), client.clone());
                 actix_rt::spawn(async move {
                     // A server that does not answer keeps its last report, which becomes stale.
-                    let Some(health) = client.health(address).await else {
+                    let Some(health) = client.health(address, HEALTH_TIMEOUT).await else {
                         return;
                     };
                     let report = LoadReport {
--- a/crates/coordination/src/watcher.rs
+++ b/crates/coordination/src/watcher.rs
@@ -9,11 +9,11 @@
 use medlarstair_protocol::convert::CONFIG_PREFIX;
 use medlarstair_state::id::Revision;
 use medlarstair_state::node::ConfigSource;
-use medlarstair_transport::kv::Store;
+use medlarstair_transport::kv::{Expect, Store};
 use rand::RngExt;
 use tokio::time::sleep;
 
-use crate::engine::{Engine, Entries, StoreListing, Watch};
+use crate::engine::{Engine, Entries, Propose, StoreListing, Watch};
 use crate::settings::Seed;
 
 /// Longest wait of one watch call.
@@ -117,3 +117,14 @@
         };
     }
 }
+
+impl<S: Store + Clone + Unpin + 'static> Handler<Propose> for ConfigWatcher<S> {
+    type Result = ();
+
+    /// A lost or refused write needs no answer: the engine proposes again while the change is still due.
+    fn handle(&mut self, Propose { key, value, expect }: Propose, cx: &mut Self::Context) {
+        let store = self.store.clone();
+        let write = async move { store.put(&key, &value, Expect::Revision(expect), None).await };
+        cx.spawn(write.into_actor(self).map(|_, _, _| ()));
+    }
+}
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -211,6 +211,22 @@
     })
 }
 
+/// The border value of a fleet.
+pub fn fleet_value(fleet: &Fleet, change_id: &str) -> FleetValue {
+    let value = |m: &FleetMember| FleetMemberValue {
+        node: m.node.0,
+        region: m.region.to_string(),
+        domain: m.domain.to_string(),
+        peer_address: m.peer_address.to_string(),
+        http_address: m.http_address.to_string(),
+    };
+    FleetValue {
+        change_id: change_id.to_owned(),
+        members: fleet.members.iter().map(value).collect(),
+        previous: fleet.previous.iter().map(value).collect(),
+    }
+}
+
 /// Converts a drain.
 ///
 /// # Errors
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -145,7 +145,20 @@
 
 /// Modification revision of a key in the key-value service.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, From, FromStr, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    From,
+    FromStr,
+    Serialize,
+    Deserialize,
 )]
 pub struct Revision(pub u64);
 
--- a/crates/state/src/node/configuration.rs
+++ b/crates/state/src/node/configuration.rs
@@ -196,7 +196,7 @@
 
     pub(super) fn on_vms(&mut self, now: Timestamp, vms: VmView, out: &mut Vec<Effect>) {
         self.routing.set_leaving(&vms.leaving);
-        self.vms_seen.extend(vms.nodes);
+        self.fleet_watch.on_list(now, &vms);
         self.note_accepting(now, out);
     }
 
--- a/crates/state/src/node/effect.rs
+++ b/crates/state/src/node/effect.rs
@@ -6,7 +6,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Backend, Customer, NodeId, RequestId};
+use crate::id::{Backend, Customer, NodeId, RequestId, Revision};
+use crate::model::Fleet;
 use crate::node::message::PeerMessage;
 use crate::node::notice::Notice;
 use crate::operation::{CallerKey, HandoverTable, Issuer, RecordedAnswer};
@@ -162,6 +163,13 @@
         /// The table in parts. The handover is acknowledged when every part is.
         parts: Vec<HandoverTable>,
     },
+    /// Write a changed fleet to the key-value service if it still has the expected revision.
+    ProposeFleet {
+        /// The fleet.
+        fleet: Fleet,
+        /// The expected revision.
+        expect: Revision,
+    },
     /// Acknowledge the part of an operation table that was just received.
     AcceptHandover,
     /// Start or stop watching the key-value service.
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod effect;
 mod event;
+mod fleet;
 mod lending;
 mod limits;
 mod message;
@@ -48,6 +49,7 @@
 use crate::time::Timestamp;
 
 use borrowing::Asked;
+use fleet::FleetWatch;
 use limits::Limits;
 use requests::{ClaimName, Pending};
 use service::ServiceState;
@@ -110,7 +112,7 @@
     joined: BTreeSet<RequestId>,
     status: Status,
     watching: bool,
-    vms_seen: BTreeSet<NodeId>,
+    fleet_watch: FleetWatch,
     stop: StopPhase,
     /// Whose operations went to the successor.
     handed_over: Vec<Incarnation>,
@@ -147,7 +149,7 @@
             joined: BTreeSet::new(),
             status: Status::default(),
             watching: false,
-            vms_seen: BTreeSet::new(),
+            fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
             handed_over: Vec::new(),
             next_gossip: now,
@@ -210,6 +212,7 @@
         self.note_accepting(now, out);
         self.refresh_status(now);
         self.send_audits(now, out);
+        self.tend_fleet(now, out);
     }
 
     fn minute(&self, now: Timestamp) -> Minute {
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -40,9 +40,6 @@
 /// Connections per daemon and backend server. Slots keep the number far lower; the platform allows about 360.
 const CONNECTIONS_MAX: usize = 64;
 
-/// Time for a health request.
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -172,15 +169,15 @@
         read_answer(res, id, deadline).await
     }
 
-    /// Asks a backend server for its health.
-    pub async fn health(&self, address: SocketAddr) -> Option<BackendHealth> {
+    /// Asks a backend server for its health. `None` without a valid answer within `limit`.
+    pub async fn health(&self, address: SocketAddr, limit: Duration) -> Option<BackendHealth> {
         let out = Request::get(format!("http://{address}/health")).body(Full::default()).ok()?;
         let ask = async {
             let res = self.client.request(out).await.ok()?;
             let body = res.into_body().collect().await.ok()?;
             serde_json::from_slice(&body.to_bytes()).ok()
         };
-        timeout(HEALTH_TIMEOUT, ask).await.ok()?
+        timeout(limit, ask).await.ok()?
     }
 }
 
