state: lower the margin at which urgent demand counts as a flood

Cause: with one slot the noise of the measured demand let bursts count as a flood, and 10 s were too short for a p99.

Change: the margin is 1.5 instead of 2 standard deviations. Queue tests measure up to 120 s when slots are few.

--- a/crates/state/src/admission/config.rs
+++ b/crates/state/src/admission/config.rs
@@ -23,7 +23,10 @@
 
 /// Distance below the capacity, in standard deviations of the measured demand, at which urgent demand counts as a
 /// flood.
-pub const FLOOD_DEVIATIONS: f64 = 2.0;
+///
+/// With one slot, 1.0 leaves no margin for the latency in a flood of exactly the capacity, and with 2.0 random bursts
+/// of a load of 30 % cost 0.2 % of the urgent requests.
+pub const FLOOD_DEVIATIONS: f64 = 1.5;
 
 /// Shortest time after which a refused caller is asked to return.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -69,7 +72,7 @@
     Duplicate,
 }
 
-/// Result of [`Admission::offer`].
+/// Result of [`Admission::offer`](super::Admission::offer).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Offered {
     /// The request waits; `next`, `expired` or `cancel` returns it once.
--- a/crates/state/tests/admission.rs
+++ b/crates/state/tests/admission.rs
@@ -45,11 +45,18 @@
     lost: u32,
     slot_time: Duration,
     /// Slot time by the second of its start.
-    by_second: [Duration; 12],
+    by_second: BTreeMap<u64, Duration>,
     latencies: Vec<Duration>,
     waits: Vec<Duration>,
 }
 
+impl Tally {
+    fn least_in_a_second(&self, seconds: f64) -> Duration {
+        assert!(self.by_second.len() as f64 >= seconds, "a second without a start");
+        self.by_second.values().copied().min().unwrap()
+    }
+}
+
 struct Outcome {
     sources: Vec<Tally>,
     utilisation: f64,
@@ -72,10 +79,11 @@
     values[values.len() * 99 / 100]
 }
 
-/// Runs the queues for 2 s and measures the 10 s after that.
+/// Runs the queues for 2 s and measures the time after that: 10 s, and more with few slots, since p99 needs several
+/// hundred requests.
 fn simulate(slots: u32, sources: &[Source], seed: u64) -> Outcome {
     const WARM_UP: Timestamp = Timestamp::from_millis(2_000);
-    const END: Timestamp = Timestamp::from_millis(12_000);
+    let end_of_run = WARM_UP + Duration::from_secs(u64::from(120 / slots).max(10));
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut queues = Admission::new(config(), Timestamp::ZERO);
     let mut arrivals = BTreeSet::new();
@@ -94,7 +102,7 @@
     while let Some(&(at, i)) = arrivals.first() {
         let end = running.first().map(|&(end, _, _): &(Timestamp, u64, usize)| end);
         let now = end.map_or(at, |end| end.min(at));
-        if now >= END {
+        if now >= end_of_run {
             break;
         }
         let measured = now >= WARM_UP;
@@ -118,17 +126,17 @@
             let i = owner[&next.request.0];
             let end = now + sources[i].run;
             running.insert((end, next.request.0, i));
-            let inside = end.min(END).since(now.max(WARM_UP));
+            let inside = end.min(end_of_run).since(now.max(WARM_UP));
             busy += inside;
             tallies[i].slot_time += inside;
             if measured {
-                tallies[i].by_second[(now.0 / 1_000_000) as usize] += sources[i].run;
+                *tallies[i].by_second.entry(now.0 / 1_000_000).or_default() += sources[i].run;
                 tallies[i].waits.push(now.since(next.queued_at));
                 tallies[i].latencies.push(end.since(next.queued_at));
             }
         }
     }
-    let seconds = END.since(WARM_UP).as_secs_f64();
+    let seconds = end_of_run.since(WARM_UP).as_secs_f64();
     Outcome { sources: tallies, utilisation: busy.as_secs_f64() / f64::from(slots) / seconds, seconds }
 }
 
@@ -158,7 +166,7 @@
             assert!(latency <= 2 * RUN, "{line}: urgent latency {latency:?}");
             for (i, floor) in [(1, 0.10), (2, 0.05)] {
                 // Starts are counted whole, so one run may fall to either side of each end of a second.
-                let least = out.sources[i].by_second[2..].iter().min().unwrap().as_secs_f64();
+                let least = out.sources[i].least_in_a_second(out.seconds).as_secs_f64();
                 let bound = floor * f64::from(slots) - 2.0 * RUN.as_secs_f64();
                 assert!(least >= bound, "{line}: {least} slot seconds of rank {i} in a second");
             }
