state: wrap comments and state the limit of one slot

Cause: comments of admission, routing and status exceeded the line width, and the module documentation of admission did not mention what one slot cannot do.

Change: wrap the comments at 110 columns; add the limit. No code changes.

Conclusion: none beyond the change.

--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -3,33 +3,39 @@
 //! # Order of service
 //!
 //! Ranks are served with strict priority. A rank that has work waiting and has got less than its floor of the
-//! slot time goes first, so that a flood of a higher rank leaves it that part. Slot time is accounted in slots and
-//! time, not in requests, and kept over a window of 1 s. Credit that is not used while work waits is limited to
-//! one window; without waiting work no credit builds up, so an idle rank cannot save a burst. Runs longer than the
-//! window make the floor exact only over several runs, because a running request is never interrupted.
+//! slot time goes first, so that a flood of a higher rank leaves it that part. Slot time is accounted in
+//! slots and time, not in requests, and kept over a window of 1 s. Credit that is not used while work waits
+//! is limited to one window; without waiting work no credit builds up, so an idle rank cannot save a burst.
+//! Runs longer than the window make the floor exact only over several runs, because a running request is
+//! never interrupted.
 //!
 //! Within a rank customers take turns, one request each.
 //!
-//! When urgent work arrives while lower ranks fill all slots, it waits for the next slot that becomes free and for
-//! nothing else: the next call of [`Admission::next`] returns it unless a lower rank is below its floor. While the
-//! urgent demand fits the slots, the part of slots that lower ranks took when nothing higher waited does not count
-//! against the wait budget of the urgent request; only its deadline limits this wait.
+//! When urgent work arrives while lower ranks fill all slots, it waits for the next slot that becomes free
+//! and for nothing else: the next call of [`Admission::next`] returns it unless a lower rank is below its
+//! floor. While the urgent demand fits the slots, the part of slots that lower ranks took when nothing higher
+//! waited does not count against the wait budget of the urgent request; only its deadline limits this wait.
 //!
 //! # Bounds
 //!
-//! Each queue is bounded by time. The estimated wait of a request is the work that is served before it, at the mean
-//! run time per rank, divided by the slots that its rank can get: all slots less the floors of waiting lower ranks
-//! and the measured load of higher ranks, or its own floor if that is more. A request whose estimate exceeds the
-//! wait budget of its rank, or its deadline less its own run time, is refused at once.
+//! Each queue is bounded by time. The estimated wait of a request is the work that is served before it, at
+//! the mean run time per rank, divided by the slots that its rank can get: all slots less the floors of
+//! waiting lower ranks and the measured load of higher ranks, or its own floor if that is more. A request
+//! whose estimate exceeds the wait budget of its rank, or its deadline less its own run time, is refused at
+//! once.
 //!
-//! The wait budget of urgent work is short, so that its latency stays low in its own flood. Random bursts exceed it
-//! also while the demand fits the slots. Therefore a longer budget ([`URGENT_BURST_RUNS`]) applies until the measured
-//! demand, refused requests included, comes close to the slots that urgent work can get. The idea of two budgets is from Maurer, "Fail at Scale" (ACM Queue, 2015), which selects by the time since the queue was
-//! last empty; demand is used here because a queue of few slots is often empty in a flood, too.
+//! The wait budget of urgent work is short, so that its latency stays low in its own flood. Random bursts
+//! exceed it also while the demand fits the slots. Therefore a longer budget ([`URGENT_BURST_RUNS`]) applies
+//! until the measured demand, refused requests included, comes close to the slots that urgent work can get.
+//! The idea of two budgets is from Maurer, "Fail at Scale" (ACM Queue, 2015), which selects by the time since
+//! the queue was last empty; demand is used here because a queue of few slots is often empty in a flood, too.
 //!
-//! A customer whose share of a full queue is smaller than that of another one still gets in: the newest request of
-//! the customer that holds most is displaced, and [`Admission::expired`] returns it. Therefore the refusals in a
-//! flood fall on its source.
+//! With one slot a burst cannot be told from a flood in time. Some urgent requests are then refused although
+//! the demand fits, and some wait longer than one run in a flood of about the capacity.
+//!
+//! A customer whose share of a full queue is smaller than that of another one still gets in: the newest
+//! request of the customer that holds most is displaced, and [`Admission::expired`] returns it. Therefore the
+//! refusals in a flood fall on its source.
 //!
 //! # Use
 //!
@@ -131,8 +137,8 @@
         }
     }
 
-    /// Queues or refuses a request. `slots` is the number of slots that this daemon may use for the service now,
-    /// those in use included.
+    /// Queues or refuses a request. `slots` is the number of slots that this daemon may use for the service
+    /// now, those in use included.
     pub fn offer(&mut self, now: Timestamp, ticket: Ticket, slots: u32) -> Offered {
         self.set_slots(now, slots);
         self.sweep(now);
@@ -175,7 +181,8 @@
         Some(waiting.ticket)
     }
 
-    /// Returns a ticket that `next` gave out and that could not be started. It is the first of its rank again.
+    /// Returns a ticket that `next` gave out and that could not be started. It is the first of its rank
+    /// again.
     pub fn put_back(&mut self, ticket: Ticket) {
         let rank = ticket.rank;
         let mut waiting = self.waiting_entry(self.now, ticket);
@@ -190,8 +197,8 @@
         self.index.insert(request, (rank, key));
     }
 
-    /// Takes the tickets that left the queue without a start: they waited past the deadline or the wait budget, or
-    /// were displaced by a customer with a smaller part of the queue.
+    /// Takes the tickets that left the queue without a start: they waited past the deadline or the wait
+    /// budget, or were displaced by a customer with a smaller part of the queue.
     pub fn expired(&mut self, now: Timestamp) -> Vec<Ticket> {
         self.advance(now);
         self.sweep(now);
@@ -229,8 +236,8 @@
         let i = ticket.rank.index();
         let run = self.run[i].as_secs_f64();
         let left = ticket.deadline.since(now).as_secs_f64();
-        // One request of a rank may try although its deadline is shorter than the mean run. Otherwise a mean that
-        // is too high could never be corrected.
+        // One request of a rank may try although its deadline is shorter than the mean run. Otherwise a mean
+        // that is too high could never be corrected.
         let trial = self.queues[i].is_empty() && self.floors.running(ticket.rank) == 0;
         if left <= 0.0 || (left < run && !trial) {
             return Err(RefusalReason::Deadline);
--- a/crates/state/src/admission/config.rs
+++ b/crates/state/src/admission/config.rs
@@ -8,8 +8,8 @@
 use crate::model::{Percent, ServiceSpec};
 use crate::time::Timestamp;
 
-/// Largest number of waiting requests per rank. The time bound is normally reached first; this one limits memory
-/// when run times are very short.
+/// Largest number of waiting requests per rank. The time bound is normally reached first; this one limits
+/// memory when run times are very short.
 pub const MAX_WAITING: usize = 4096;
 
 /// Wait budget of standard work.
@@ -21,11 +21,11 @@
 /// Wait budget of urgent work, in typical runs, while its demand fits the slots.
 pub const URGENT_BURST_RUNS: u32 = 8;
 
-/// Distance below the capacity, in standard deviations of the measured demand, at which urgent demand counts as a
-/// flood.
+/// Distance below the capacity, in standard deviations of the measured demand, at which urgent demand counts
+/// as a flood.
 ///
-/// With one slot, 1.0 leaves no margin for the latency in a flood of exactly the capacity, and with 2.0 random bursts
-/// of a load of 30 % cost 0.2 % of the urgent requests.
+/// With one slot, 1.0 leaves no margin for the latency in a flood of exactly the capacity, and with 2.0
+/// random bursts of a load of 30 % cost 0.2 % of the urgent requests.
 pub const FLOOD_DEVIATIONS: f64 = 1.5;
 
 /// Shortest time after which a refused caller is asked to return.
@@ -107,8 +107,8 @@
 impl AdmissionConfig {
     /// Default settings for a service.
     ///
-    /// The budget of urgent work is one run, so that its latency in its own flood stays within twice the unloaded
-    /// latency.
+    /// The budget of urgent work is one run, so that its latency in its own flood stays within twice the
+    /// unloaded latency.
     ///
     /// ```
     /// use std::time::Duration;
--- a/crates/state/src/admission/estimate.rs
+++ b/crates/state/src/admission/estimate.rs
@@ -44,8 +44,8 @@
 
     /// Whether the demand of urgent work fits the slots that it can get.
     ///
-    /// The measured demand of Poisson arrivals deviates by `sqrt(run / (2 slots))` of the capacity when it is near
-    /// it; the margin keeps a flood from counting as fitting.
+    /// The measured demand of Poisson arrivals deviates by `sqrt(run / (2 slots))` of the capacity when it is
+    /// near it; the margin keeps a flood from counting as fitting.
     pub(super) fn urgent_fits(&self, now: Timestamp) -> bool {
         let slots = f64::from(self.floors.slots().max(1));
         let deviation = (self.run[0].as_secs_f64() / (2.0 * slots)).sqrt();
@@ -63,7 +63,8 @@
         self.floors.slots().saturating_sub(self.floors.running_total())
     }
 
-    /// Seconds until the work before a request of `rank` with `ahead` requests of its rank before it has started.
+    /// Seconds until the work before a request of `rank` with `ahead` requests of its rank before it has
+    /// started.
     pub(super) fn queue_wait(&self, now: Timestamp, rank: Rank, ahead: usize) -> f64 {
         let i = rank.index();
         let own = ahead as f64 * self.run[i].as_secs_f64();
--- a/crates/state/src/admission/floors.rs
+++ b/crates/state/src/admission/floors.rs
@@ -39,10 +39,10 @@
 
 /// Slot time accounts of the three ranks.
 ///
-/// A start is charged with the mean run time of its rank at once, because several slots may become free at the
-/// same instant; the end of the run corrects the charge to the measured time. A start while no higher rank waits
-/// uses up credit but makes no debt: the rank took slots that nobody else wanted, and a debt for them would leave
-/// it without its floor at the beginning of a flood.
+/// A start is charged with the mean run time of its rank at once, because several slots may become free at
+/// the same instant; the end of the run corrects the charge to the measured time. A start while no higher
+/// rank waits uses up credit but makes no debt: the rank took slots that nobody else wanted, and a debt for
+/// them would leave it without its floor at the beginning of a flood.
 #[derive(Debug, Clone)]
 pub(super) struct Floors {
     accounts: [Account; 3],
@@ -75,8 +75,8 @@
             let i = rank.index();
             let account = &mut self.accounts[i];
             let window = account.floor * slots * slot_time(FLOOR_WINDOW) / 100;
-            // A debt of one run stays payable even when it exceeds the window. Otherwise a rank of long runs on
-            // few slots would get far more than its floor.
+            // A debt of one run stays payable even when it exceeds the window. Otherwise a rank of long runs
+            // on few slots would get far more than its floor.
             let lowest = -window.max(slot_time(run[i]));
             let highest = if waiting[i] { window } else { 0 };
             account.balance = (account.balance + account.floor * slots * elapsed).clamp(lowest, highest);
@@ -138,8 +138,8 @@
         account.fillers = account.fillers.saturating_sub(u32::from(charge.filler));
     }
 
-    /// Charge of one running request of the rank, for a request whose own charge is no longer known. Fillers count
-    /// as the older ones, since they started before the higher rank had work waiting.
+    /// Charge of one running request of the rank, for a request whose own charge is no longer known. Fillers
+    /// count as the older ones, since they started before the higher rank had work waiting.
     pub(super) fn mean_charge(&self, rank: Rank) -> Charge {
         let account = &self.accounts[rank.index()];
         let amount = account.charged / i64::from(account.running.max(1));
--- a/crates/state/src/admission/queue.rs
+++ b/crates/state/src/admission/queue.rs
@@ -55,8 +55,8 @@
     started: Decaying,
 }
 
-/// Queue of one rank. Each customer gets one request per round, so that a newcomer waits for at most one request
-/// of every other customer.
+/// Queue of one rank. Each customer gets one request per round, so that a newcomer waits for at most one
+/// request of every other customer.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RankQueue {
     entries: BTreeMap<Key, Waiting>,
@@ -159,12 +159,12 @@
         self.remove(key)
     }
 
-    /// The newest request of the customer that holds most of the queue, which may make room for `customer`, and
-    /// whether it is served before the next one of `customer`. `None` if `customer` would then hold more than that
-    /// one.
+    /// The newest request of the customer that holds most of the queue, which may make room for `customer`,
+    /// and whether it is served before the next one of `customer`. `None` if `customer` would then hold more
+    /// than that one.
     ///
-    /// With equal parts the one that started more requests recently yields. Without this rule a queue of one or
-    /// two entries would belong to whoever sends most.
+    /// With equal parts the one that started more requests recently yields. Without this rule a queue of one
+    /// or two entries would belong to whoever sends most.
     pub(super) fn displaceable(&self, now: Timestamp, customer: &Customer) -> Option<(Key, bool)> {
         let held = |lane: &Lane| (lane.keys.len(), lane.started.get(now));
         let mine = self.lanes.get(customer).map_or((0, 0.0), held);
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -1,24 +1,25 @@
 //! Choice of a backend server. One instance per service.
 //!
-//! A backend server that leaves, according to a drain, its own report or the VM list, gets no new work, and neither
-//! does one whose circuit is open: five consecutive connect failures open it for 1 s, doubled up to 30 s with each
-//! failed trial; when the time is over, one trial request at a time is allowed.
+//! A backend server that leaves, according to a drain, its own report or the VM list, gets no new work, and
+//! neither does one whose circuit is open: five consecutive connect failures open it for 1 s, doubled up to
+//! 30 s with each failed trial; when the time is over, one trial request at a time is allowed.
 //!
-//! The own region is preferred; another region is used only if no server of the own one can take the request. The
-//! server to avoid, normally that of the failed attempt, is the last resort. Among the rest the [`Policy`] decides.
+//! The own region is preferred; another region is used only if no server of the own one can take the request.
+//! The server to avoid, normally that of the failed attempt, is the last resort. Among the rest the
+//! [`Policy`] decides.
 //!
-//! Own observations go before reports. A report can take work away from a server but cannot grant any: the number
-//! of requests is bounded by the slots that the caller passes in, a report that claims an idle server leaves the
-//! cost of own work, latency and errors as it is, and a report older than 3 s counts as absent. Draining is the
-//! exception: it lasts until a recent report of the server says otherwise.
+//! Own observations go before reports. A report can take work away from a server but cannot grant any: the
+//! number of requests is bounded by the slots that the caller passes in, a report that claims an idle server
+//! leaves the cost of own work, latency and errors as it is, and a report older than 3 s counts as absent.
+//! Draining is the exception: it lasts until a recent report of the server says otherwise.
 //!
-//! A server that is new to this daemon, has a new boot id or was unreachable is cold: one request at a time, twice
-//! as many with each second in which requests succeed, until all slots are allowed.
+//! A server that is new to this daemon, has a new boot id or was unreachable is cold: one request at a time,
+//! twice as many with each second in which requests succeed, until all slots are allowed.
 //!
-//! Errors are often fast, so a failing server has few requests in flight and would attract work. Therefore the
-//! recent part of failed requests multiplies the cost, the latency of errors does not improve the mean, and a
-//! server that fails while the majority does not gets one trial request per second. When most servers fail, the
-//! requests are the probable cause and no server is held back.
+//! Errors are often fast, so a failing server has few requests in flight and would attract work. Therefore
+//! the recent part of failed requests multiplies the cost, the latency of errors does not improve the mean,
+//! and a server that fails while the majority does not gets one trial request per second. When most servers
+//! fail, the requests are the probable cause and no server is held back.
 //!
 //! Each server that [`Routing::pick`] returns is followed by one call of [`Routing::on_end`], with
 //! [`AttemptEnd::Cancelled`] if the request was not sent after all.
@@ -204,14 +205,14 @@
         }
     }
 
-    /// Whether the server may get new work: it is known, does not leave, and its circuit is closed or due for a
-    /// trial.
+    /// Whether the server may get new work: it is known, does not leave, and its circuit is closed or due for
+    /// a trial.
     pub fn accepts(&self, now: Timestamp, backend: &Backend) -> bool {
         self.servers.get(backend).is_some_and(|server| server.accepts(now))
     }
 
-    /// Number of requests that this daemon may run on the server at a time because of slow start; `u32::MAX` for a
-    /// warm server and 0 for one that gets no new work.
+    /// Number of requests that this daemon may run on the server at a time because of slow start; `u32::MAX`
+    /// for a warm server and 0 for one that gets no new work.
     pub fn slot_cap(&self, now: Timestamp, backend: &Backend) -> u32 {
         self.servers.get(backend).filter(|s| s.accepts(now)).map_or(0, Server::slot_cap)
     }
--- a/crates/state/src/routing/policy.rs
+++ b/crates/state/src/routing/policy.rs
@@ -8,12 +8,13 @@
 /// Cost of a server whose requests all fail, relative to one without failures, less one.
 const ERROR_WEIGHT: f64 = 10.0;
 
-/// Bounds of the relative latency. A server that answers much faster than the others may do less than they do, so
-/// this attracts at most twice the work.
+/// Bounds of the relative latency. A server that answers much faster than the others may do less than they
+/// do, so this attracts at most twice the work.
 const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
 
-/// Part of its cost by which the second choice must be better. Smaller differences are noise; if they decided, the
-/// slightly worst server would get no work at low load and could never show that it has improved.
+/// Part of its cost by which the second choice must be better. Smaller differences are noise; if they
+/// decided, the slightly worst server would get no work at low load and could never show that it has
+/// improved.
 const NOISE: f64 = 0.1;
 
 /// What is known about a backend server that may get the request.
@@ -35,7 +36,8 @@
 
 /// Chooses a backend server.
 pub trait Policy {
-    /// Whether a server that fails while most others do not is held back between trials. The baselines do without.
+    /// Whether a server that fails while most others do not is held back between trials. The baselines do
+    /// without.
     const HOLDS_BACK: bool = false;
 
     /// Index of the chosen server. `choices` is not empty.
@@ -44,8 +46,8 @@
 
 /// The better of two random choices by own work, latency, errors and reported load.
 ///
-/// Two choices follow Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing" (2001): daemons with
-/// the same lagging reports do not all choose the same server.
+/// Two choices follow Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing" (2001): daemons
+/// with the same lagging reports do not all choose the same server.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TwoChoices;
 
--- a/crates/state/src/routing/server.rs
+++ b/crates/state/src/routing/server.rs
@@ -16,8 +16,8 @@
 /// Time between trial requests to a failing server.
 pub(super) const TRIAL_SPACING: Duration = Duration::from_secs(1);
 
-/// Time constant after which errors and unusual latencies are forgotten, so that a recovered server gets requests
-/// again.
+/// Time constant after which errors and unusual latencies are forgotten, so that a recovered server gets
+/// requests again.
 const MEMORY: Duration = Duration::from_secs(5);
 
 const LATENCY_WEIGHT: f64 = 1.0 / 8.0;
@@ -107,8 +107,8 @@
         }
     }
 
-    /// The mean starts from the value that the forgetting has left, so that one request does not bring back an old
-    /// latency.
+    /// The mean starts from the value that the forgetting has left, so that one request does not bring back
+    /// an old latency.
     fn record_latency(&mut self, now: Timestamp, latency: Duration, median: f64) {
         let latency = latency.as_secs_f64();
         let mean = match self.latency {
@@ -141,7 +141,8 @@
                 self.record_latency(now, latency, median);
                 self.slow_start.on_success(now, self.spec.slots.0);
             }
-            // An error is often faster than the work it replaces. Only a slow one tells something about latency.
+            // An error is often faster than the work it replaces. Only a slow one tells something about
+            // latency.
             AttemptEnd::ServerError { latency }
                 if self.latency.is_some_and(|l| latency.as_secs_f64() > l) =>
             {
--- a/crates/state/src/status.rs
+++ b/crates/state/src/status.rs
@@ -1,14 +1,15 @@
 //! The plain status text.
 //!
-//! Scripts read it to decide whether to send work, wait or go elsewhere. A script that reads only the third word of
-//! the line of its customer and service gets the complete decision; the rest of the line explains it.
+//! Scripts read it to decide whether to send work, wait or go elsewhere. A script that reads only the third
+//! word of the line of its customer and service gets the complete decision; the rest of the line explains it.
 //!
 //! # Grammar
 //!
-//! Version 1, in ABNF (RFC 5234, with the case-sensitive strings of RFC 7405). The text is ASCII, each line ends with
-//! a line feed, and fields are separated by one space. Lines are sorted by customer and service in byte order, and
-//! there is at most one line for each pair. Keys come in the order given here. A later version may add keys at the end of a
-//! line under the same version number; any other change raises the version.
+//! Version 1, in ABNF (RFC 5234, with the case-sensitive strings of RFC 7405). The text is ASCII, each line
+//! ends with a line feed, and fields are separated by one space. Lines are sorted by customer and service in
+//! byte order, and there is at most one line for each pair. Keys come in the order given here. A later
+//! version may add keys at the end of a line under the same version number; any other change raises the
+//! version.
 //!
 //! ```abnf
 //! status      = header *line
@@ -34,17 +35,17 @@
 //!
 //! A line has the verdict
 //!
-//! - `wait` with reason `rate` when the customer has used 100 % of the rate of its contract. The rate covers all
-//!   regions, so another one would not help. The verdict lasts until the use falls below 90 %;
-//! - otherwise `elsewhere` when the service is full here and another region has room for this customer. The reason is
-//!   `no-slots` if the daemon may use no slot, else `load`. Full means that no slot may be used or that the load has
-//!   reached 90 %, and lasts until slots may be used and the load is below 80 %;
+//! - `wait` with reason `rate` when the customer has used 100 % of the rate of its contract. The rate covers
+//!   all regions, so another one would not help. The verdict lasts until the use falls below 90 %;
+//! - otherwise `elsewhere` when the service is full here and another region has room for this customer. The
+//!   reason is `no-slots` if the daemon may use no slot, else `load`. Full means that no slot may be used or
+//!   that the load has reached 90 %, and lasts until slots may be used and the load is below 80 %;
 //! - otherwise `wait`, with the same reasons, when the service is full here;
 //! - otherwise `send` with reason `ok`.
 //!
-//! A wait for the rate forgets that the service was full, and the reverse: only the reason of the last decision counts.
-//! The distance between the two thresholds keeps a verdict from alternating when a load stays close to one of them.
-//! The region of `elsewhere` stays the same while that region has room.
+//! A wait for the rate forgets that the service was full, and the reverse: only the reason of the last
+//! decision counts. The distance between the two thresholds keeps a verdict from alternating when a load
+//! stays close to one of them. The region of `elsewhere` stays the same while that region has room.
 
 use std::time::Duration;
 
--- a/crates/state/tests/admission.rs
+++ b/crates/state/tests/admission.rs
@@ -79,8 +79,8 @@
     values[values.len() * 99 / 100]
 }
 
-/// Runs the queues for 2 s and measures the time after that: 10 s, and more with few slots, since p99 needs several
-/// hundred requests.
+/// Runs the queues for 2 s and measures the time after that: 10 s, and more with few slots, since p99 needs
+/// several hundred requests.
 fn simulate(slots: u32, sources: &[Source], seed: u64) -> Outcome {
     const WARM_UP: Timestamp = Timestamp::from_millis(2_000);
     let end_of_run = WARM_UP + Duration::from_secs(u64::from(120 / slots).max(10));
@@ -144,8 +144,8 @@
     Source { customer, rank, load, run: RUN }
 }
 
-/// Guards against floors that a flood breaks, long urgent waits and idle slots. The bounds are those of sections 1
-/// and 8 of the design page; one run per second is the resolution of a floor on one slot.
+/// Guards against floors that a flood breaks, long urgent waits and idle slots. The bounds are those of
+/// sections 1 and 8 of the design page; one run per second is the resolution of a floor on one slot.
 #[test]
 fn floods_keep_floors_latency_and_utilisation() {
     for line in include_str!("data/floods.txt").lines().filter(|l| !l.starts_with('#')) {
@@ -198,7 +198,8 @@
     }
 }
 
-/// Guards against a queue that refuses everything while the daemon has no slot yet, and one that never gives up.
+/// Guards against a queue that refuses everything while the daemon has no slot yet, and one that never gives
+/// up.
 #[test]
 fn without_slots_work_waits_within_its_budget() {
     let mut queues = Admission::new(config(), Timestamp::ZERO);
@@ -283,7 +284,12 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 256, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Config::default() })]
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..Config::default()
+    })]
 
     /// Guards against tickets that are lost, given out twice or started after their deadline.
     #[test]
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -97,9 +97,9 @@
     }
 }
 
-/// Four warm servers with 3 slots each, one request every 3 ms. Server 0 ends each `every`-th request with `bad`
-/// after `bad_for` and reports no load; the others answer after 20 ms and report their load. Returns the part of the
-/// requests that server 0 gets.
+/// Four warm servers with 3 slots each, one request every 3 ms. Server 0 ends each `every`-th request with
+/// `bad` after `bad_for` and reports no load; the others answer after 20 ms and report their load. Returns
+/// the part of the requests that server 0 gets.
 fn part_of_bad_server<P: Policy>(policy: P, bad: AttemptEnd, bad_for: Duration, every: u32) -> f64 {
     let specs = specs(4);
     let mut rng = Pcg64Mcg::seed_from_u64(5);
@@ -145,8 +145,9 @@
     f64::from(to_bad) / f64::from(picks)
 }
 
-/// Guards against a server that attracts work because its errors are fast, or because it claims to be idle while
-/// requests to it time out. Half of an even share is the bound; the baselines show that the situation is one.
+/// Guards against a server that attracts work because its errors are fast, or because it claims to be idle
+/// while requests to it time out. Half of an even share is the bound; the baselines show that the situation
+/// is one.
 #[test]
 fn failing_servers_do_not_attract_work() {
     let fast = Duration::from_millis(1);
@@ -272,10 +273,15 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 256, rng_seed: RngSeed::Fixed(19), failure_persistence: None, ..Config::default() })]
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..Config::default()
+    })]
 
-    /// Guards against work for a server that leaves, has no free slot or is above its slow-start cap, whatever
-    /// reports claim.
+    /// Guards against work for a server that leaves, has no free slot or is above its slow-start cap,
+    /// whatever reports claim.
     #[test]
     fn picked_servers_accept_work(
         steps in prop::collection::vec((0..8usize, 0..9u8, 0..4u32, 0..4u32, 0..1500u64), 1..80),
