--- a/crates/state/src/routing/server.rs
+++ b/crates/state/src/routing/server.rs
@@ -16,8 +16,9 @@
 /// Time between trial requests to a failing server.
 pub(super) const TRIAL_SPACING: Duration = Duration::from_secs(1);
 
-/// Time constant after which errors are forgotten, so that a recovered server gets requests again.
-const ERROR_MEMORY: Duration = Duration::from_secs(5);
+/// Time constant after which errors and unusual latencies are forgotten, so that a recovered server gets
+/// requests again.
+const MEMORY: Duration = Duration::from_secs(5);
 
 const LATENCY_WEIGHT: f64 = 1.0 / 8.0;
 const ERROR_WEIGHT: f64 = 1.0 / 4.0;
@@ -36,6 +37,7 @@
     pub(super) slow_start: SlowStart,
     /// Mean latency of successful requests in seconds.
     pub(super) latency: Option<f64>,
+    latency_at: Timestamp,
     errors: f64,
     errors_at: Timestamp,
     picked_at: Option<Timestamp>,
@@ -53,6 +55,7 @@
             circuit: Circuit::CLOSED,
             slow_start: SlowStart::COLD,
             latency: None,
+            latency_at: now,
             errors: 0.0,
             errors_at: now,
             picked_at: None,
@@ -72,7 +75,17 @@
     }
 
     pub(super) fn errors(&self, now: Timestamp) -> f64 {
-        self.errors * (-now.since(self.errors_at).as_secs_f64() / ERROR_MEMORY.as_secs_f64()).exp()
+        self.errors * remembered(now, self.errors_at)
+    }
+
+    /// Latency relative to the median of the service. Without new requests it approaches 1.
+    pub(super) fn relative_latency(&self, now: Timestamp, median: f64) -> f64 {
+        match self.latency {
+            Some(latency) if median > 0.0 => {
+                1.0 + (latency / median - 1.0) * remembered(now, self.latency_at)
+            }
+            _ => 1.0,
+        }
     }
 
     /// Whether a failing server has had its trial request recently.
@@ -94,13 +107,20 @@
         }
     }
 
-    fn record_latency(&mut self, latency: Duration) {
+    /// The mean starts from the value that the forgetting has left, so that one request does not bring back
+    /// an old latency.
+    fn record_latency(&mut self, now: Timestamp, latency: Duration, median: f64) {
         let latency = latency.as_secs_f64();
-        let mean = self.latency.unwrap_or(latency);
+        let mean = match self.latency {
+            Some(_) if median > 0.0 => median * self.relative_latency(now, median),
+            known => known.unwrap_or(latency),
+        };
         self.latency = Some(mean + (latency - mean) * LATENCY_WEIGHT);
+        self.latency_at = self.latency_at.max(now);
     }
 
-    pub(super) fn on_end(&mut self, now: Timestamp, end: &AttemptEnd) {
+    /// `median` is the median latency of the service in seconds.
+    pub(super) fn on_end(&mut self, now: Timestamp, end: &AttemptEnd, median: f64) {
         match end {
             AttemptEnd::Ran { .. } | AttemptEnd::ServerError { .. } | AttemptEnd::Shed => {
                 if self.circuit.on_connected() {
@@ -118,14 +138,15 @@
         self.record(now, !matches!(end, AttemptEnd::Ran { .. }));
         match *end {
             AttemptEnd::Ran { latency } => {
-                self.record_latency(latency);
+                self.record_latency(now, latency, median);
                 self.slow_start.on_success(now, self.spec.slots.0);
             }
-            // An error is often faster than the work it replaces. Only a slow one tells something about latency.
+            // An error is often faster than the work it replaces. Only a slow one tells something about
+            // latency.
             AttemptEnd::ServerError { latency }
                 if self.latency.is_some_and(|l| latency.as_secs_f64() > l) =>
             {
-                self.record_latency(latency);
+                self.record_latency(now, latency, median);
             }
             _ => {}
         }
@@ -151,3 +172,8 @@
         self.reported_at = Some(measured_at);
     }
 }
+
+/// Part of an observation from `then` that still counts.
+fn remembered(now: Timestamp, then: Timestamp) -> f64 {
+    (-now.since(then).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+}
