Add the client block table and the membership

Cause: lookups need the region of a client address, and duties, loans and lookups need to know which daemons run.

Change: `blocks` keeps one `prefix-trie` map per part, shared by reference count, with region ids of 2 bytes and an index of address spans. Parts keep no text; `part_text` writes it again. Dead members are not passed on and need 8 heartbeats to be alive again.

--- /dev/null
+++ b/crates/state/benches/inputs/blocks.rs
@@ -0,0 +1,84 @@
+//! Fixed client blocks for the benchmark and the memory example.
+
+use std::net::{Ipv4Addr, Ipv6Addr};
+
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use medlarstair_state::blocks::Blocks;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Regions of the design size.
+pub const REGIONS: u16 = 19;
+
+/// Prefix lengths of IPv4 client blocks per thousand. Three quarters are /24 or longer, as in public routing tables.
+const LENGTHS_V4: [(u8, u32); 9] =
+    [(24, 690), (23, 100), (22, 110), (21, 35), (20, 20), (19, 10), (18, 3), (25, 16), (28, 16)];
+
+/// Prefix lengths of IPv6 client blocks per thousand.
+const LENGTHS_V6: [(u8, u32); 6] = [(48, 560), (44, 90), (40, 100), (36, 50), (32, 150), (56, 50)];
+
+fn length<R: Rng>(rng: &mut R, table: &[(u8, u32)]) -> u8 {
+    let mut at = rng.random_range(0..1000);
+    for &(len, weight) in table {
+        if at < weight {
+            return len;
+        }
+        at -= weight;
+    }
+    table[0].0
+}
+
+/// `count` client blocks in address order: four fifths IPv4, one tenth of them inside the block before.
+///
+/// Neighbouring blocks share a region in runs of 50 on average.
+pub fn blocks(count: usize) -> Vec<(IpNet, u16)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(39);
+    let mut out = Vec::with_capacity(count);
+    let mut region = 0;
+    // The gap leaves the address density of the table unchanged when the count grows.
+    let mut v4: u32 = 0x0100_0000;
+    while out.len() < count * 4 / 5 {
+        if rng.random_range(0..50) == 0 {
+            region = rng.random_range(0..REGIONS);
+        }
+        let len = length(&mut rng, &LENGTHS_V4);
+        let size = 1_u32 << (32 - len);
+        let gap = if rng.random_range(0..4) == 0 { 1024 } else { 0 };
+        v4 = (v4 + gap).next_multiple_of(size);
+        out.push((Ipv4Net::new_assert(Ipv4Addr::from(v4), len).into(), region));
+        if len <= 22 && rng.random_range(0..2) == 0 {
+            let inner = Ipv4Net::new_assert(Ipv4Addr::from(v4 + 256), 24);
+            out.push((inner.into(), rng.random_range(0..REGIONS)));
+        }
+        v4 += size;
+    }
+    let mut v6: u128 = 0x2001_0000_u128 << 96;
+    while out.len() < count {
+        if rng.random_range(0..50) == 0 {
+            region = rng.random_range(0..REGIONS);
+            // The next provider starts at a new /32.
+            v6 = v6.next_multiple_of(1 << 96);
+        }
+        let len = length(&mut rng, &LENGTHS_V6);
+        let size = 1_u128 << (128 - len);
+        v6 = v6.next_multiple_of(size);
+        out.push((Ipv6Net::new_assert(Ipv6Addr::from(v6), len).into(), region));
+        v6 += size;
+    }
+    out.truncate(count);
+    out
+}
+
+/// Text of a part.
+pub fn text(blocks: &[(IpNet, u16)]) -> String {
+    blocks.iter().map(|(net, region)| format!("{net} region-{region}\n")).collect()
+}
+
+/// A table of `blocks` in parts of `per_part`.
+pub fn table(blocks: &[(IpNet, u16)], per_part: usize) -> Blocks {
+    let mut table = Blocks::default();
+    for (i, part) in blocks.chunks(per_part).enumerate() {
+        table.load_part(&format!("{i:05}"), &text(part)).expect("the text is valid");
+    }
+    table
+}
--- /dev/null
+++ b/crates/state/benches/inputs/members.rs
@@ -0,0 +1,82 @@
+//! Memberships that know a fleet, without a simulation of it.
+
+use std::time::Duration;
+
+use medlarstair_state::id::{Boot, Incarnation, NodeId};
+use medlarstair_state::membership::{DomainSummary, Gossip, MemberState, Membership};
+use medlarstair_state::model::{Fleet, FleetMember};
+use medlarstair_state::time::Timestamp;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+#[path = "fleet.rs"]
+mod fleets;
+
+use fleets::CONFIG;
+
+/// A daemon that knows its whole domain and a summary of each other.
+pub struct Warmed {
+    /// The daemon.
+    pub membership: Membership,
+    /// Its time.
+    pub now: Timestamp,
+    /// Its incarnation.
+    pub id: Incarnation,
+    fleet: Fleet,
+    heartbeat: u64,
+}
+
+fn state(member: &FleetMember, heartbeat: u64) -> MemberState {
+    let boot = Boot(1_790_000_000_000_000 + u64::from(member.node.0) * 7919);
+    MemberState { id: Incarnation { node: member.node, boot }, heartbeat, leaving: false, config: CONFIG }
+}
+
+/// The daemon at `index` of the first domain.
+pub fn warmed(domains: &[u32], index: usize) -> Warmed {
+    let fleet = fleets::fleet(domains);
+    let now = Timestamp::from_millis(10);
+    let id = state(&fleet.members[index], 0).id;
+    let domain = fleet.members[index].domain.clone();
+    let mut membership = Membership::new(id, domain, Default::default(), now);
+    membership.set_fleet(now, &fleet);
+    let mut warmed = Warmed { membership, now, id, fleet, heartbeat: 2_000 };
+    warmed.hear_all();
+    // By now no member is news.
+    warmed.now = warmed.now + Duration::from_secs(2);
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    warmed.membership.tick(warmed.now, &mut rng, CONFIG);
+    warmed.hear_all();
+    warmed
+}
+
+impl Warmed {
+    /// Every daemon of the domain and the first three of each other advance.
+    pub fn hear_all(&mut self) {
+        self.heartbeat += 1;
+        let domains = self.fleet.members.chunk_by(|a, b| a.domain == b.domain);
+        for members in domains {
+            let states: Vec<_> = members.iter().map(|m| state(m, self.heartbeat)).collect();
+            if states.iter().any(|s| s.id == self.id) {
+                for state in states.into_iter().filter(|s| s.id != self.id) {
+                    let gossip = Gossip { members: vec![state], ..Gossip::default() };
+                    self.membership.on_gossip(self.now, state.id, &gossip);
+                }
+                continue;
+            }
+            let live = states.len() as u16;
+            let delegates: Vec<_> = states.into_iter().take(3).collect();
+            let (from, domain) = (delegates[0], members[0].domain.clone());
+            let summary = DomainSummary { domain, delegates, live, in_force: live, dead: Vec::new() };
+            let gossip = Gossip { members: vec![from], domains: vec![summary], ..Gossip::default() };
+            self.membership.on_gossip(self.now, from.id, &gossip);
+        }
+    }
+
+    /// The messages of the next tick, while all others advance.
+    pub fn tick(&mut self) -> Vec<(NodeId, Gossip)> {
+        self.now = self.now + Duration::from_millis(200);
+        self.hear_all();
+        let mut rng = Pcg64Mcg::seed_from_u64(self.now.0);
+        self.membership.tick(self.now, &mut rng, CONFIG)
+    }
+}
--- a/crates/state/src/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Members of the failure domain and summaries of the others.
--- /dev/null
+++ b/crates/state/tests/membership.rs
@@ -0,0 +1,386 @@
+//! Tests of the membership in virtual time: daemons exchange gossip over an in-memory queue.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use medlarstair_state::config::Digest;
+use medlarstair_state::id::{Boot, Incarnation, NodeId, Revision};
+use medlarstair_state::membership::{GOSSIP_MAX_BYTES, Gossip, Liveness, Membership};
+use medlarstair_state::model::Fleet;
+use medlarstair_state::time::Timestamp;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+#[path = "../benches/inputs/fleet.rs"]
+mod fleets;
+
+use fleets::{CONFIG, fleet};
+
+const PERIOD: Duration = Duration::from_millis(200);
+const DELAY: Duration = Duration::from_millis(1);
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+struct Peer {
+    id: Incarnation,
+    membership: Membership,
+    config: Digest,
+    up: bool,
+    paused_until: Timestamp,
+}
+
+enum Event {
+    Tick(Incarnation),
+    Deliver(NodeId, Incarnation, Gossip),
+}
+
+struct Sim {
+    fleet: Fleet,
+    now: Timestamp,
+    peers: BTreeMap<NodeId, Peer>,
+    queue: BTreeMap<(Timestamp, u64), Event>,
+    sequence: u64,
+    rng: Pcg64Mcg,
+    loss: f64,
+    /// These daemons reach only each other.
+    island: BTreeSet<NodeId>,
+    messages: u64,
+    bytes: u64,
+    /// Encodes each so manyth message.
+    measure_every: u64,
+    /// Messages kept for a replay.
+    tape: Option<Vec<(Incarnation, Gossip)>>,
+    /// Pairs found suspected and dead, looked at by each daemon at each of its ticks.
+    suspected: u64,
+    dead: u64,
+}
+
+impl Sim {
+    fn new(domains: &[u32], loss: f64, seed: u64) -> Self {
+        let mut sim = Self {
+            fleet: fleet(domains),
+            now: Timestamp::ZERO,
+            peers: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            loss,
+            island: BTreeSet::new(),
+            messages: 0,
+            bytes: 0,
+            measure_every: 1,
+            tape: None,
+            suspected: 0,
+            dead: 0,
+        };
+        for node in sim.nodes() {
+            // Boots are microseconds since 1970, as in the daemon.
+            let boot = Boot(1_790_000_000_000_000 + sim.rng.random_range(0..1_000_000));
+            sim.start(node, boot);
+        }
+        sim
+    }
+
+    fn nodes(&self) -> Vec<NodeId> {
+        self.fleet.members.iter().map(|m| m.node).collect()
+    }
+
+    fn start(&mut self, node: NodeId, boot: Boot) {
+        let domain = self.fleet.members.iter().find(|m| m.node == node).unwrap().domain.clone();
+        let id = Incarnation { node, boot };
+        let mut membership = Membership::new(id, domain, Default::default(), self.now);
+        membership.set_fleet(self.now, &self.fleet);
+        let peer = Peer { id, membership, config: CONFIG, up: true, paused_until: self.now };
+        self.peers.insert(node, peer);
+        let phase = Duration::from_micros(self.rng.random_range(0..200_000));
+        self.push(self.now + phase, Event::Tick(id));
+    }
+
+    fn push(&mut self, at: Timestamp, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    fn peer(&mut self, node: NodeId) -> &mut Peer {
+        self.peers.get_mut(&node).unwrap()
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            self.now = entry.key().0;
+            let event = entry.remove();
+            let node = match &event {
+                Event::Tick(id) => id.node,
+                Event::Deliver(to, ..) => *to,
+            };
+            let peer = &self.peers[&node];
+            if !peer.up {
+                continue;
+            }
+            if peer.paused_until > self.now {
+                self.push(peer.paused_until, event);
+                continue;
+            }
+            match event {
+                Event::Tick(id) => self.tick(id),
+                Event::Deliver(to, from, gossip) => {
+                    let now = self.now;
+                    self.peer(to).membership.on_gossip(now, from, &gossip);
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    fn tick(&mut self, id: Incarnation) {
+        let peer = self.peers.get_mut(&id.node).unwrap();
+        if peer.id != id {
+            return;
+        }
+        for member in &self.fleet.members {
+            match peer.membership.liveness(self.now, member.node) {
+                Liveness::Alive => {}
+                Liveness::Suspect => self.suspected += 1,
+                Liveness::Dead => self.dead += 1,
+            }
+        }
+        let sent = peer.membership.tick(self.now, &mut self.rng, peer.config);
+        for (to, gossip) in sent {
+            self.messages += 1;
+            if self.messages.is_multiple_of(self.measure_every) {
+                let bytes = postcard::to_stdvec(&gossip).unwrap().len();
+                assert!(bytes <= GOSSIP_MAX_BYTES, "{bytes} bytes from {id}");
+                self.bytes += bytes as u64 * self.measure_every;
+            }
+            if let Some(tape) = &mut self.tape {
+                tape.push((id, gossip.clone()));
+            }
+            let cut = self.island.contains(&id.node) != self.island.contains(&to);
+            if !cut && !self.rng.random_bool(self.loss) {
+                self.push(self.now + DELAY, Event::Deliver(to, id, gossip));
+            }
+        }
+        self.push(self.now + PERIOD, Event::Tick(id));
+    }
+
+    /// Observers that are up, except `but`, and what they think of `node`.
+    fn opinions(&self, node: NodeId) -> Vec<Liveness> {
+        let others = self.peers.values().filter(|p| p.up && p.id.node != node);
+        others.map(|p| p.membership.liveness(self.now, node)).collect()
+    }
+
+    fn all_think(&self, node: NodeId, liveness: Liveness) -> bool {
+        self.opinions(node).iter().all(|&l| l == liveness)
+    }
+}
+
+const FLEETS: [&[u32]; 2] = [&[2, 1, 1, 1, 1, 1], &[95]];
+
+/// Guards against a death that some daemon learns of later than 3 s plus 5 gossip periods.
+#[test]
+fn deaths_are_detected_everywhere_in_time() {
+    for domains in FLEETS {
+        for loss in [0.0, 0.01, 0.05] {
+            let mut sim = Sim::new(domains, loss, 11);
+            let mut times = Vec::new();
+            sim.run(secs(5.0));
+            for round in 0..5 {
+                let victim = NodeId(1000 + round);
+                sim.peer(victim).up = false;
+                sim.run(secs(2.0));
+                assert!(!sim.opinions(victim).contains(&Liveness::Dead));
+                let mut after = secs(2.0);
+                let mut known = 0;
+                while !sim.all_think(victim, Liveness::Dead) {
+                    sim.run(secs(0.01));
+                    after += secs(0.01);
+                    let opinions = sim.opinions(victim);
+                    let dead = opinions.iter().filter(|&&l| l == Liveness::Dead).count();
+                    times.extend(std::iter::repeat_n(after, dead.saturating_sub(known)));
+                    known = known.max(dead);
+                    assert!(after < secs(10.0), "not detected");
+                }
+                if loss <= 0.01 {
+                    assert!(after <= secs(3.0) + 5 * PERIOD, "{domains:?} at loss {loss}: {after:?}");
+                }
+                let boot = Boot(sim.peers[&victim].id.boot.0 + 60_000_000);
+                sim.start(victim, boot);
+                sim.run(secs(5.0));
+                assert!(sim.all_think(victim, Liveness::Alive), "restart with a higher boot");
+            }
+            times.sort();
+            println!(
+                "{} daemons, loss {loss}: dead after {:?} median, {:?} maximum",
+                sim.peers.len(),
+                times[times.len() / 2],
+                times[times.len() - 1]
+            );
+        }
+    }
+}
+
+/// Guards against live daemons that lost messages make look dead.
+#[test]
+fn loss_causes_no_false_death() {
+    for domains in FLEETS {
+        let mut sim = Sim::new(domains, 0.05, 12);
+        sim.measure_every = 7;
+        sim.run(secs(5.0));
+        (sim.suspected, sim.messages, sim.bytes) = (0, 0, 0);
+        sim.run(secs(600.0));
+        assert_eq!(sim.dead, 0);
+        let n = sim.peers.len() as f64;
+        println!(
+            "{n} daemons, 10 min at 5 % loss: {} suspected of {} looks; per daemon and second {:.1} messages, {:.0} bytes",
+            sim.suspected,
+            n * n * 3000.0,
+            sim.messages as f64 / n / 600.0,
+            sim.bytes as f64 / n / 600.0
+        );
+    }
+}
+
+/// Guards against a resumed daemon that declares the others dead, and against others that keep it dead.
+#[test]
+fn a_paused_daemon_forgives_first() {
+    for domains in FLEETS {
+        for pause in [2.0, 10.0] {
+            let mut sim = Sim::new(domains, 0.01, 13);
+            sim.run(secs(5.0));
+            let sleeper = NodeId(1001);
+            sim.peer(sleeper).paused_until = sim.now + secs(pause);
+            sim.run(secs(pause - 0.001));
+            let expected = if pause < 3.0 { Liveness::Suspect } else { Liveness::Dead };
+            assert!(sim.all_think(sleeper, expected));
+            for _ in 0..400 {
+                sim.run(secs(0.01));
+                let membership = &sim.peers[&sleeper].membership;
+                assert_eq!(membership.live(sim.now).len(), sim.peers.len(), "pause of {pause} s");
+            }
+            assert!(sim.all_think(sleeper, Liveness::Alive), "pause of {pause} s");
+        }
+    }
+}
+
+/// Guards against sides of a partition that keep each other dead after it heals, or have no watcher during it.
+#[test]
+fn partitions_heal() {
+    for (domains, cut) in [(FLEETS[0], 2), (FLEETS[0], 1), (FLEETS[1], 40), (FLEETS[1], 1), (&[8, 8, 8], 8)] {
+        let mut sim = Sim::new(domains, 0.01, 14);
+        sim.run(secs(5.0));
+        let nodes = sim.nodes();
+        sim.island = nodes[..cut].iter().copied().collect();
+        sim.run(secs(60.0));
+        for peer in sim.peers.values() {
+            let here = sim.island.contains(&peer.id.node);
+            for node in peer.membership.live(sim.now) {
+                assert_eq!(sim.island.contains(&node), here, "{domains:?} {cut}");
+            }
+            assert!(!peer.membership.watchers(sim.now).is_empty());
+        }
+        sim.island.clear();
+        sim.run(secs(10.0));
+        for &node in &nodes {
+            assert!(sim.all_think(node, Liveness::Alive), "{domains:?} {cut}: {node}");
+        }
+    }
+}
+
+/// Guards against old messages that make a dead daemon look alive again.
+#[test]
+fn stale_gossip_does_not_revive() {
+    for domains in FLEETS {
+        let mut sim = Sim::new(domains, 0.0, 15);
+        sim.run(secs(40.0));
+        sim.tape = Some(Vec::new());
+        sim.run(secs(3.0));
+        let victim = NodeId(1000);
+        sim.peer(victim).up = false;
+        sim.run(secs(1.0));
+        let tape = sim.tape.take().unwrap();
+        sim.run(secs(3.0));
+        assert!(sim.all_think(victim, Liveness::Dead));
+        for wait in [0.0, 30.0, 60.0] {
+            sim.run(secs(wait));
+            for (from, gossip) in tape.iter().take(2000) {
+                let now = sim.now;
+                for peer in sim.peers.values_mut().filter(|p| p.up && p.id != *from).take(8) {
+                    peer.membership.on_gossip(now, *from, gossip);
+                }
+            }
+            for _ in 0..10 {
+                assert!(sim.all_think(victim, Liveness::Dead));
+                sim.run(secs(0.4));
+            }
+            for node in sim.nodes().into_iter().skip(1) {
+                assert!(sim.all_think(node, Liveness::Alive), "{node} was harmed by old messages");
+            }
+        }
+    }
+}
+
+/// Guards against daemons that disagree on duties, keep them with the dead or leaving, or leave none.
+#[test]
+fn duties_converge() {
+    let mut sim = Sim::new(&[95], 0.01, 16);
+    let mut gone = BTreeSet::new();
+    for step in 0..4 {
+        sim.run(secs(8.0));
+        let watching = sim.peers.values().find(|p| p.up).unwrap().membership.watchers(sim.now);
+        let delegates = sim.peers.values().find(|p| p.up).unwrap().membership.delegates(sim.now);
+        assert_eq!((watching.len(), delegates.len()), (2, 3));
+        for peer in sim.peers.values().filter(|p| p.up) {
+            assert_eq!(peer.membership.watchers(sim.now), watching, "step {step}");
+            assert_eq!(peer.membership.delegates(sim.now), delegates, "step {step}");
+        }
+        assert!(watching.iter().all(|w| !gone.contains(w)), "step {step}");
+        assert!(delegates.iter().all(|d| sim.peers[d].up), "step {step}");
+        gone.insert(watching[0]);
+        if step % 2 == 0 {
+            sim.peer(watching[0]).up = false;
+        } else {
+            sim.peer(watching[0]).membership.set_leaving();
+        }
+    }
+    let last = sim.nodes()[0];
+    for node in sim.nodes().into_iter().skip(1) {
+        sim.peer(node).up = false;
+    }
+    sim.peer(last).up = true;
+    sim.start(last, Boot(u64::MAX));
+    sim.run(secs(5.0));
+    assert_eq!(sim.peers[&last].membership.watchers(sim.now), [last]);
+}
+
+/// Guards against "in force on n of m" that stays behind after a change, or counts daemons that lack it.
+#[test]
+fn configuration_in_force_is_counted() {
+    for domains in [FLEETS[0], &[95], &[8, 8, 8]] {
+        let mut sim = Sim::new(domains, 0.01, 17);
+        sim.run(secs(5.0));
+        let changed = Digest { entries: 41, highest: Revision(70_001), hash: 1 };
+        let nodes = sim.nodes();
+        let (last, rest) = nodes.split_last().unwrap();
+        for &node in rest {
+            sim.peer(node).config = changed;
+        }
+        let in_force = |sim: &Sim| {
+            let views = sim.peers[&nodes[0]].membership.domains(sim.now);
+            (views.iter().map(|v| v.in_force).sum::<usize>(), views.iter().map(|v| v.live).sum::<usize>())
+        };
+        sim.run(secs(4.0));
+        assert_eq!(in_force(&sim), (nodes.len() - 1, nodes.len()));
+        sim.peer(*last).config = changed;
+        sim.run(secs(4.0));
+        assert_eq!(in_force(&sim), (nodes.len(), nodes.len()));
+        sim.peer(*last).up = false;
+        sim.run(secs(6.0));
+        assert_eq!(in_force(&sim), (nodes.len() - 1, nodes.len() - 1));
+    }
+}
