--- a/crates/state/benches/inputs/members.rs
+++ b/crates/state/benches/inputs/members.rs
@@ -10,7 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 
 #[path = "fleet.rs"]
-mod fleets;
+pub mod fleets;
 
 use fleets::CONFIG;
 
--- a/crates/state/examples/memory.rs
+++ b/crates/state/examples/memory.rs
@@ -1,4 +1,5 @@
-//! Prints the memory of the client block table and of the membership, and the bytes that the membership sends.
+//! Prints the memory of the client block table and of the membership, the bytes that the
+//! membership sends and the size of the fleet value.
 //!
 //! `cargo run --release -p medlarstair-state --example memory`
 
@@ -58,6 +59,19 @@
     member.membership.delegates(member.now).contains(&member.id.node)
 }
 
+/// Size of the fleet value, which must stay under one megabyte, without and with the members before a change.
+fn fleet_value(size: u32) {
+    let mut fleet = members::fleets::fleet(&[size]);
+    let plain = serde_json::to_string(&fleet).expect("it encodes").len();
+    fleet.previous = fleet.members.clone();
+    let changing = serde_json::to_string(&fleet).expect("it encodes").len();
+    println!(
+        "fleet members={size} value_kB={:.1} during_change_kB={:.1}",
+        plain as f64 / 1e3,
+        changing as f64 / 1e3
+    );
+}
+
 fn membership(domains: &[u32], index: usize) {
     let before = ALLOCATOR.current_usage();
     let mut member = members::warmed(domains, index);
@@ -100,6 +114,9 @@
     for i in [duty, none].into_iter().flatten() {
         membership(&design_size, i);
     }
+    for size in [7, 95, 5_300] {
+        fleet_value(size);
+    }
     for count in [39_000, 390_000, 3_900_000] {
         let blocks = inputs::blocks(count);
         for per_part in [2_500, 39_000] {
--- a/crates/state/src/membership/mod.rs
+++ b/crates/state/src/membership/mod.rs
@@ -83,7 +83,7 @@
 /// A failure domain of the fleet.
 #[derive(Debug, Clone, Default)]
 struct DomainEntry {
-    /// All its daemons by rendezvous hash: the first live ones have its duties.
+    /// All its daemons by rendezvous hash: the first live ones are its delegates, the last its watchers.
     nodes: Vec<NodeId>,
     /// The latest summary; none for the own domain.
     summary: Option<DomainSummary>,
--- a/crates/state/src/membership/view.rs
+++ b/crates/state/src/membership/view.rs
@@ -58,12 +58,21 @@
 
     /// The daemons that exchange summaries for the own domain, leaving ones included until they stop.
     pub fn delegates(&self, now: Timestamp) -> Vec<NodeId> {
-        self.on_duty(now, self.cfg.delegates, |_| true)
+        self.on_duty(now, self.cfg.delegates, self.near_nodes().iter(), |_| true)
     }
 
     /// The daemons of the own domain that watch the key-value service, leaving ones excluded. Never empty.
+    ///
+    /// The last by rendezvous hash: the first are delegates, and the two duties together would bring one daemon of
+    /// the design size close to its 17 kB/s.
     pub fn watchers(&self, now: Timestamp) -> Vec<NodeId> {
-        self.on_duty(now, self.cfg.watchers, |node| !self.is_leaving(node))
+        let last_first = self.near_nodes().iter().rev();
+        self.on_duty(now, self.cfg.watchers, last_first, |node| !self.is_leaving(node))
+    }
+
+    /// The daemons of the own domain by rendezvous hash.
+    fn near_nodes(&self) -> &[NodeId] {
+        &self.domains[&self.domain].nodes
     }
 
     fn is_leaving(&self, node: NodeId) -> bool {
@@ -99,7 +108,7 @@
     pub(super) fn own_counts(&self, now: Timestamp) -> (usize, usize) {
         let mut live = 0;
         let mut in_force = 0;
-        for &node in &self.domains[&self.domain].nodes {
+        for &node in self.near_nodes() {
             if self.record_liveness(now, node) == Liveness::Dead {
                 continue;
             }
@@ -122,11 +131,17 @@
         reported.chain(expected.filter(move |_| none_reported))
     }
 
-    /// The first `count` fit daemons of the own domain that are alive. A suspected one is passed over so that its duty
+    /// The first `count` fit daemons in `order` that are alive. A suspected one is passed over so that its duty
     /// moves after 1 s and not after 3 s; two daemons with the same duty do no harm.
-    fn on_duty(&self, now: Timestamp, count: usize, fit: impl Fn(NodeId) -> bool) -> Vec<NodeId> {
+    fn on_duty<'a>(
+        &self,
+        now: Timestamp,
+        count: usize,
+        order: impl Iterator<Item = &'a NodeId>,
+        fit: impl Fn(NodeId) -> bool,
+    ) -> Vec<NodeId> {
         let mut nodes = Vec::with_capacity(count);
-        for &node in &self.domains[&self.domain].nodes {
+        for &node in order {
             if nodes.len() < count && fit(node) && self.record_liveness(now, node) == Liveness::Alive {
                 nodes.push(node);
             }
--- a/crates/state/tests/membership.rs
+++ b/crates/state/tests/membership.rs
@@ -5,7 +5,7 @@
 
 use medlarstair_state::config::Digest;
 use medlarstair_state::id::{Boot, Incarnation, NodeId, Revision};
-use medlarstair_state::membership::{GOSSIP_MAX_BYTES, Gossip, Liveness, Membership};
+use medlarstair_state::membership::{GOSSIP_MAX_BYTES, Gossip, Liveness, MemberState, Membership};
 use medlarstair_state::model::Fleet;
 use medlarstair_state::time::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -29,6 +29,8 @@
     config: Digest,
     up: bool,
     paused_until: Timestamp,
+    /// Whether messages that arrive during a pause are delivered after it, or lost.
+    buffers: bool,
 }
 
 enum Event {
@@ -92,7 +94,7 @@
         let id = Incarnation { node, boot };
         let mut membership = Membership::new(id, domain, Default::default(), self.now);
         membership.set_fleet(self.now, &self.fleet);
-        let peer = Peer { id, membership, config: CONFIG, up: true, paused_until: self.now };
+        let peer = Peer { id, membership, config: CONFIG, up: true, paused_until: self.now, buffers: true };
         self.peers.insert(node, peer);
         let phase = Duration::from_micros(self.rng.random_range(0..200_000));
         self.push(self.now + phase, Event::Tick(id));
@@ -124,7 +126,9 @@
                 continue;
             }
             if peer.paused_until > self.now {
-                self.push(peer.paused_until, event);
+                if peer.buffers || matches!(event, Event::Tick(_)) {
+                    self.push(peer.paused_until, event);
+                }
                 continue;
             }
             match event {
@@ -169,6 +173,14 @@
         self.push(self.now + PERIOD, Event::Tick(id));
     }
 
+    /// Whether every daemon knows the incarnation of every other.
+    fn is_settled(&self) -> bool {
+        let knows = |peer: &Peer, other: &Peer| {
+            peer.id == other.id || peer.membership.member(other.id.node).is_some_and(|m| m.id == other.id)
+        };
+        self.peers.values().all(|peer| self.peers.values().all(|other| knows(peer, other)))
+    }
+
     /// Observers that are up, except `but`, and what they think of `node`.
     fn opinions(&self, node: NodeId) -> Vec<Liveness> {
         let others = self.peers.values().filter(|p| p.up && p.id.node != node);
@@ -185,7 +197,7 @@
 /// Guards against a death that some daemon learns of later than 3 s plus 5 gossip periods.
 #[test]
 fn deaths_are_detected_everywhere_in_time() {
-    for domains in FLEETS {
+    for domains in [FLEETS[0], &[30], FLEETS[1]] {
         for loss in [0.0, 0.01, 0.05] {
             let mut sim = Sim::new(domains, loss, 11);
             let mut times = Vec::new();
@@ -225,6 +237,39 @@
     }
 }
 
+/// Guards against a domain that takes long to know itself after all its daemons, or one, have started.
+#[test]
+fn a_started_domain_settles() {
+    for size in [7, 30, 95] {
+        let mut sim = Sim::new(&[size], 0.01, 20);
+        let nodes = sim.nodes();
+        for started in [&nodes[..], &nodes[..1]] {
+            if started.len() == 1 {
+                sim.run(secs(10.0));
+                sim.start(nodes[0], Boot(1_800_000_000_000_000));
+            }
+            (sim.messages, sim.bytes) = (0, 0);
+            let from = sim.now;
+            let mut watching = 0;
+            while !sim.is_settled() {
+                sim.run(secs(0.05));
+                let watches = |p: &&Peer| p.membership.watchers(sim.now).contains(&p.id.node);
+                watching = watching.max(sim.peers.values().filter(watches).count());
+                assert!(sim.now.since(from) <= secs(3.0), "{size} daemons, {} started", started.len());
+            }
+            println!(
+                "{size} daemons, {} started: settled after {:?}; at most {watching} watch; \
+                 {} messages, {} bytes sent per daemon",
+                started.len(),
+                sim.now.since(from),
+                sim.messages / u64::from(size),
+                sim.bytes / u64::from(size)
+            );
+        }
+        assert_eq!(sim.dead, 0);
+    }
+}
+
 /// Guards against live daemons that lost messages make look dead.
 #[test]
 fn loss_causes_no_false_death() {
@@ -250,11 +295,12 @@
 #[test]
 fn a_paused_daemon_forgives_first() {
     for domains in FLEETS {
-        for pause in [2.0, 10.0] {
+        for (pause, buffers) in [(2.0, true), (10.0, true), (2.0, false), (10.0, false)] {
             let mut sim = Sim::new(domains, 0.01, 13);
             sim.run(secs(5.0));
             let sleeper = NodeId(1001);
             sim.peer(sleeper).paused_until = sim.now + secs(pause);
+            sim.peer(sleeper).buffers = buffers;
             sim.run(secs(pause - 0.001));
             let expected = if pause < 3.0 { Liveness::Suspect } else { Liveness::Dead };
             assert!(sim.all_think(sleeper, expected));
@@ -325,6 +371,46 @@
     }
 }
 
+/// Guards against heartbeats of the time before a death that reach a daemon only after it has noticed.
+#[test]
+fn late_heartbeats_do_not_revive() {
+    let mut sim = Sim::new(&[3], 0.0, 18);
+    sim.run(secs(5.0));
+    let [victim, observer, other] = sim.nodes()[..] else { panic!("three daemons") };
+    sim.peer(victim).up = false;
+    sim.run(secs(3.5));
+    assert!(sim.all_think(victim, Liveness::Dead));
+    let last = *sim.peers[&observer].membership.member(victim).unwrap();
+    let sender = *sim.peers[&observer].membership.member(other).unwrap();
+    for (advance, expected) in [(1, Liveness::Dead), (5, Liveness::Dead), (15, Liveness::Alive)] {
+        let state = MemberState { heartbeat: last.heartbeat + advance, ..last };
+        let gossip = Gossip { members: vec![sender, state], ..Gossip::default() };
+        let now = sim.now;
+        let membership = &mut sim.peer(observer).membership;
+        membership.on_gossip(now, sender.id, &gossip);
+        assert_eq!(membership.liveness(now, victim), expected, "{advance} heartbeats later");
+    }
+}
+
+/// Guards against counters of the earlier incarnation that advance the new one, which then seems to stand still.
+#[test]
+fn a_quick_restart_is_no_death() {
+    for domains in FLEETS {
+        let mut sim = Sim::new(domains, 0.01, 19);
+        sim.run(secs(18.0));
+        let node = NodeId(1001);
+        let boot = Boot(sim.peers[&node].id.boot.0 + 300_001);
+        sim.start(node, boot);
+        for _ in 0..150 {
+            sim.run(secs(0.1));
+            assert!(!sim.opinions(node).contains(&Liveness::Dead), "{domains:?} at {}", sim.now);
+        }
+        assert!(sim.all_think(node, Liveness::Alive));
+        let others = sim.peers.values().filter(|p| p.id.node != node);
+        assert!(others.flat_map(|p| p.membership.member(node)).all(|m| m.id.boot == boot));
+    }
+}
+
 /// Guards against daemons that disagree on duties, keep them with the dead or leaving, or leave none.
 #[test]
 fn duties_converge() {
