--- a/crates/state/examples/memory.rs
+++ b/crates/state/examples/memory.rs
@@ -3,9 +3,9 @@
 //!
 //! `cargo run --release -p medlarstair-state --example memory`
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, Ipv6Addr};
 
-use ipnet::{IpNet, Ipv4Net};
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use medlarstair_state::blocks::Blocks;
 use peak_alloc::PeakAlloc;
 use rand::{RngExt, SeedableRng};
@@ -30,6 +30,18 @@
     out
 }
 
+/// `count` IPv6 /48 blocks, one per /40 at random.
+fn scattered_v6(count: usize) -> Vec<(IpNet, u16)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(42);
+    let mut out = Vec::with_capacity(count);
+    for i in 0..count {
+        let at = (0x2001 << 112) + ((i as u128) << 88) + (rng.random_range(0..256) << 80);
+        let net = Ipv6Net::new_assert(Ipv6Addr::from(at), 48);
+        out.push((net.into(), rng.random_range(0..inputs::REGIONS)));
+    }
+    out
+}
+
 fn block_table(name: &str, per_part: usize, blocks: &[(IpNet, u16)]) {
     let before = ALLOCATOR.current_usage();
     let mut table: Blocks = inputs::table(blocks, per_part);
@@ -123,5 +135,6 @@
             block_table("clustered", per_part, &blocks);
         }
         block_table("scattered", 2_500, &scattered(count));
+        block_table("scattered_v6", 2_500, &scattered_v6(count));
     }
 }
