Give cold backend servers work from the daemon that holds their slots

Cause: the node reduced the free slots of a candidate to the slow-start cap, and the routing derives the work in flight as usable minus free. A daemon with three usable slots and a cap of one therefore counted two requests in flight and never picked the server, so its work waited for loans of other regions.

Ruled out: the circuit breaker, drains and the share itself; the server was accepted with 3 of 3 slots free.

The routing checks the cap itself.

The test runs nodes under one virtual time; the driver also checks that an operation runs at most once and that 'not run' is true, with one and two faults.

--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -140,12 +140,6 @@
                 continue;
             }
             let usable = self.ledger.usable(now, &backend.key).0;
-            let cap = self.routing.slot_cap(now, &backend.spec.name);
-            let in_use = usable.saturating_sub(free);
-            if in_use >= cap {
-                continue;
-            }
-            let free = free.min(cap - in_use);
             candidates.push(Candidate { backend: &backend.spec.name, free, usable, same_region: local });
         }
         self.routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
--- /dev/null
+++ b/crates/state/tests/node_once.rs
@@ -0,0 +1,69 @@
+//! P4 and P5: what is reported as not run was not run, and an operation runs at most once, whatever fails.
+
+mod support;
+
+use medlarstair_state::id::Rank;
+use proptest::prelude::*;
+use rand::RngExt;
+use support::faults::{Schedule, any_fault, config, process_fault, schedules, store_fault};
+use support::*;
+
+/// Operations from every daemon, each resent twice through others: soon after, so that it meets the running attempt,
+/// and later.
+fn operations(schedule: &Schedule) -> World {
+    let mut world = schedule.world();
+    let start = world.now;
+    for i in 0..150 {
+        let at = start + i as u64 * 50 * MS;
+        world.run_until(at);
+        let (first, second, third) = (pick(&mut world), pick(&mut world), pick(&mut world));
+        let kind = match i % 3 {
+            0 => world.key(i),
+            // Half of the callers send to the owner, half to another daemon.
+            1 => world.token(first, i),
+            _ => world.token(second, i),
+        };
+        let run = world.rng.random_range(5..400) * MS;
+        let op = world.op(Rank::ALL[i % 3], kind, run);
+        let (soon, later) = (world.rng.random_range(0..500) * MS, world.rng.random_range(SEC..6 * SEC));
+        world.send_at(at, first, op);
+        world.send_at(at + soon, second, op);
+        world.send_at(at + later, third, op);
+    }
+    world.run_until(start + 30 * SEC);
+    world.check_answers();
+    world
+}
+
+fn pick(world: &mut World) -> usize {
+    let nodes = world.daemons.len();
+    world.rng.random_range(0..nodes)
+}
+
+fn process_or_store(nodes: usize) -> BoxedStrategy<faults::Fault> {
+    prop_oneof![process_fault(nodes), store_fault()].boxed()
+}
+
+proptest! {
+    #![proptest_config(config(12))]
+
+    #[test]
+    fn an_operation_runs_once_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
+        let world = operations(&schedule);
+        world.assert_holds(&["P3", "P4", "P5", "P2 slots"]);
+    }
+
+    #[test]
+    fn an_operation_runs_once_with_two_faults(schedule in schedules(3..8, any_fault, true)) {
+        let world = operations(&schedule);
+        world.assert_holds(&["P3", "P4", "P5", "P2 slots"]);
+    }
+
+    #[test]
+    fn an_operation_runs_once_when_owners_and_claims_fail(
+        schedule in schedules(3..8, process_or_store, true)
+    ) {
+        let world = operations(&schedule);
+        world.assert_holds(&["P3", "P4", "P5", "P2 slots"]);
+    }
+}
