Renew loans to other regions only below the region's limit

Cause: the load of the region was checked when slots were first lent to another region but not when the loan was renewed, so own work that took the rest of the slots left the region at 100 % with work of other regions for as long as that was in demand.

Ruled out: the first grant, which counts loans and own work, and load reports; the lender had lent one slot of its share and then used the others itself.

--- a/crates/state/src/node/lending.rs
+++ b/crates/state/src/node/lending.rs
@@ -9,6 +9,21 @@
 /// Part of its slots, in percent, up to which a region takes work from other regions.
 pub(super) const REGION_LOAD_MAX: u32 = 90;
 
+/// The own part of the slots of a service in the own region.
+#[derive(Debug, Default)]
+struct RegionLoad {
+    share: u32,
+    /// Lent or in use.
+    busy: u32,
+}
+
+impl RegionLoad {
+    /// Slots up to which other regions get some.
+    fn limit(&self) -> u32 {
+        self.share * REGION_LOAD_MAX / 100
+    }
+}
+
 impl<P: Policy> Node<P> {
     pub(super) fn on_loan_request(&mut self, now: Timestamp, req: &LoanRequest, out: &mut Vec<Effect>) {
         let borrower = req.id.borrower;
@@ -34,9 +49,34 @@
             (LimitKey::Slots(backend), Some(region)) => self.lends(now, backend, region),
             _ => true,
         });
+        if let (LoanWant::Service(service), Some(region)) = (&req.want, &region) {
+            self.cut_to_region_load(now, service, region, &mut items);
+        }
         items
     }
 
+    /// Takes slots out of a renewal that would keep the own part of the region above [`REGION_LOAD_MAX`]: own work
+    /// may have taken the rest since the slots were lent.
+    fn cut_to_region_load(
+        &self,
+        now: Timestamp,
+        service: &Service,
+        region: &Region,
+        items: &mut Vec<LoanItem>,
+    ) {
+        if *region == self.cfg.region {
+            return;
+        }
+        let load = self.region_load(now, service);
+        let mut excess = load.busy.saturating_sub(load.limit());
+        for item in items.iter_mut() {
+            let cut = item.units.0.min(excess);
+            item.units.0 -= cut;
+            excess -= cut;
+        }
+        items.retain(|item| item.units > Units::ZERO);
+    }
+
     /// Slots that the own work does not need, spread over the backend servers.
     fn spare_slots(
         &self,
@@ -90,19 +130,22 @@
         if *region == self.cfg.region {
             return u32::MAX;
         }
-        let Some(svc) = self.services.get(service) else {
-            return 0;
-        };
-        let (mut share, mut spare) = (0, 0);
-        for backend in svc.backends.iter().filter(|b| b.is_local) {
+        let load = self.region_load(now, service);
+        load.limit().saturating_sub(load.busy)
+    }
+
+    fn region_load(&self, now: Timestamp, service: &Service) -> RegionLoad {
+        let mut load = RegionLoad::default();
+        let backends = self.services.get(service).into_iter().flat_map(|svc| &svc.backends);
+        for backend in backends.filter(|b| b.is_local) {
             if !self.routing.accepts(now, &backend.spec.name) {
                 continue;
             }
-            share += self.ledger.share(&backend.key).0;
-            spare += self.ledger.lendable(now, &backend.key).0;
+            let share = self.ledger.share(&backend.key);
+            load.share += share.0;
+            load.busy += share.minus(self.ledger.lendable(now, &backend.key)).0;
         }
-        let busy = share.saturating_sub(spare);
-        (share * REGION_LOAD_MAX / 100).saturating_sub(busy)
+        load
     }
 
     /// Units of a rate limit beyond the own recent use; half of them, so that the own traffic can still grow.
--- /dev/null
+++ b/crates/state/tests/node_limits.rs
@@ -0,0 +1,71 @@
+//! P1 and P2: the cap on shifts between regions holds, and no steering decision overloads a server or a region.
+
+mod support;
+
+use medlarstair_state::id::Rank;
+use medlarstair_state::node::Idempotency;
+use proptest::prelude::*;
+use rand::RngExt;
+use support::faults::{Schedule, any_fault, config, measurement_fault, process_fault, schedules};
+use support::*;
+
+/// A flood at the daemons of one region, which spreads to the others, and light work everywhere else. The flooded
+/// region and the daemon that gets the flood change, so shares and loans move.
+fn flood(schedule: &Schedule) -> World {
+    let mut world = schedule.world();
+    let start = world.now;
+    let nodes = world.daemons.len();
+    for i in 0..1_600_u64 {
+        let at = start + i * 5 * MS;
+        world.run_until(at);
+        let region = (i / 400) as usize % 3;
+        let node = if world.rng.random_range(0..10) < 8 {
+            let of_region = (0..nodes).filter(|n| region_of(*n) == region).collect::<Vec<_>>();
+            of_region[(i / 100) as usize % of_region.len()]
+        } else {
+            world.rng.random_range(0..nodes)
+        };
+        let run = world.rng.random_range(20..150) * MS;
+        let rank = Rank::ALL[world.rng.random_range(0..3)];
+        let op = world.op(rank, Idempotency::Repeatable, run);
+        world.send_at(at, node, op);
+    }
+    world.run_until(start + 12 * SEC);
+    world.check_answers();
+    world
+}
+
+fn process_or_measurement(nodes: usize) -> BoxedStrategy<faults::Fault> {
+    prop_oneof![process_fault(nodes), measurement_fault()].boxed()
+}
+
+proptest! {
+    #![proptest_config(config(10))]
+
+    #[test]
+    fn shifts_stay_under_the_cap_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
+        flood(&schedule).assert_holds(&["P1"]);
+    }
+
+    #[test]
+    fn shifts_stay_under_the_cap_with_two_faults(schedule in schedules(3..8, process_fault, true)) {
+        flood(&schedule).assert_holds(&["P1"]);
+    }
+
+    #[test]
+    fn slots_are_not_exceeded_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
+        flood(&schedule).assert_holds(&["P2 slots", "P4"]);
+    }
+
+    #[test]
+    fn slots_are_not_exceeded_with_two_faults(schedule in schedules(3..8, process_or_measurement, true)) {
+        flood(&schedule).assert_holds(&["P2 slots", "P4"]);
+    }
+
+    #[test]
+    fn regions_stay_below_their_limit_with_two_faults(
+        schedule in schedules(3..8, process_or_measurement, true)
+    ) {
+        flood(&schedule).assert_holds(&["P2 region"]);
+    }
+}
--- a/crates/state/tests/support/faults.rs
+++ b/crates/state/tests/support/faults.rs
@@ -77,8 +77,9 @@
     }
 }
 
-/// Settings of a check over `cases` schedules with a fixed seed.
+/// Settings of a check over `cases` schedules with a fixed seed. `PROPTEST_CASES` sets another number of schedules.
 pub fn config(cases: u32) -> ProptestConfig {
+    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(cases);
     let rng_seed = RngSeed::Fixed(0x6d65_646c);
     ProptestConfig { cases, rng_seed, failure_persistence: None, ..Default::default() }
 }
