Keep one routing state per service

Cause: latency and error medians were taken over all services, so a slow service made its servers look bad; a pick that started nothing was never ended, which could hold a half-open circuit.

--- a/crates/state/src/node/borrowing.rs
+++ b/crates/state/src/node/borrowing.rs
@@ -27,7 +27,7 @@
 /// Time after which an answer is no longer of interest.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Asks for slots for the requests that wait: first the daemons of the own region, and those of other regions
     /// only while the own region has none to lend.
     pub(super) fn seek_loans(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
--- a/crates/state/src/node/configuration.rs
+++ b/crates/state/src/node/configuration.rs
@@ -16,7 +16,7 @@
 /// Largest value in bytes that is pushed by datagram. Larger ones are fetched when the digest differs.
 const PUSH_MAX_BYTES: usize = 900;
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     pub(super) fn on_config(
         &mut self,
         now: Timestamp,
@@ -107,7 +107,9 @@
         match self.services.get_mut(&spec.name) {
             Some(svc) => svc.reconfigure(spec),
             None => {
-                self.services.insert(spec.name.clone(), ServiceState::new(spec, now));
+                let mut svc = ServiceState::new(spec.clone(), P::default(), now);
+                svc.routing.set_leaving(&self.vms_leaving);
+                self.services.insert(spec.name, svc);
             }
         }
     }
@@ -148,8 +150,10 @@
         limits.extend(self.contracts.values().flat_map(|c| contract_limits(c, &regions)));
         limits.extend(link_limits(&self.topology));
         self.set_limits(now, limits);
-        self.routing.set_backends(now, &specs);
-        self.routing.set_drains(&self.drains);
+        for svc in self.services.values_mut() {
+            svc.routing.set_backends(now, &svc.spec.backends);
+            svc.routing.set_drains(&self.drains);
+        }
         self.choose_lenders();
     }
 
@@ -190,20 +194,26 @@
         report: &LoadReport,
         out: &mut Vec<Effect>,
     ) {
-        self.routing.on_report(now, backend, report);
+        for svc in self.services.values_mut() {
+            svc.routing.on_report(now, backend, report);
+        }
         self.note_accepting(now, out);
     }
 
     pub(super) fn on_vms(&mut self, now: Timestamp, vms: VmView, out: &mut Vec<Effect>) {
-        self.routing.set_leaving(&vms.leaving);
+        for svc in self.services.values_mut() {
+            svc.routing.set_leaving(&vms.leaving);
+        }
+        self.vms_leaving = vms.leaving.clone();
         self.fleet_watch.on_list(now, &vms);
         self.note_accepting(now, out);
     }
 
     pub(super) fn note_accepting(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
-        for backend in self.services.values().flat_map(|svc| &svc.backends) {
+        let backends = self.services.values().flat_map(|svc| svc.backends.iter().map(move |b| (svc, b)));
+        for (svc, backend) in backends {
             let name = &backend.spec.name;
-            let accepts = self.routing.accepts(now, name);
+            let accepts = svc.routing.accepts(now, name);
             match self.accepting.get_mut(name) {
                 Some(last) if *last == accepts => continue,
                 Some(last) => *last = accepts,
--- a/crates/state/src/node/fleet.rs
+++ b/crates/state/src/node/fleet.rs
@@ -61,7 +61,7 @@
     }
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     fn is_gone(&self, now: Timestamp, node: NodeId) -> bool {
         let is_dead = self.membership.liveness(now, node) == Liveness::Dead;
         node != self.cfg.me.node && is_dead && self.fleet_watch.is_unlisted(now, node)
--- a/crates/state/src/node/lending.rs
+++ b/crates/state/src/node/lending.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{Backend, NodeId, Region, Service};
 use crate::ledger::{LimitKey, LoanItem, LoanRequest, LoanWant, Units};
+use crate::node::service::ServiceState;
 use crate::node::{Effect, Node, PeerMessage};
 use crate::routing::Policy;
 use crate::time::Timestamp;
@@ -24,7 +25,7 @@
     }
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     pub(super) fn on_loan_request(&mut self, now: Timestamp, req: &LoanRequest, out: &mut Vec<Effect>) {
         let borrower = req.id.borrower;
         let items = match &req.want {
@@ -46,7 +47,9 @@
         }
         let mut items = self.ledger.renewable(now, req);
         items.retain(|item| match (&item.key, &region) {
-            (LimitKey::Slots(backend), Some(region)) => self.lends(now, backend, region),
+            (LimitKey::Slots(backend), Some(region)) => {
+                self.services.values().any(|svc| self.lends(now, svc, backend, region))
+            }
             _ => true,
         });
         if let (LoanWant::Service(service), Some(region)) = (&req.want, &region) {
@@ -96,7 +99,7 @@
         while wanted > 0 {
             let mut progress = false;
             for backend in svc.backends.iter().filter(|b| b.is_local) {
-                if wanted == 0 || !self.lends(now, &backend.spec.name, &region) {
+                if wanted == 0 || !self.lends(now, svc, &backend.spec.name, &region) {
                     continue;
                 }
                 let lent = items.iter().find(|i| i.key == backend.key).map_or(0, |i| i.units.0);
@@ -119,9 +122,9 @@
 
     /// Whether slots of a backend server may go to a daemon of `region`. Another region gets them only on a fresh load
     /// report with room, so that work stays at home when measurements stop.
-    fn lends(&self, now: Timestamp, backend: &Backend, region: &Region) -> bool {
-        self.routing.accepts(now, backend)
-            && (*region == self.cfg.region || self.routing.has_reported_room(now, backend))
+    fn lends(&self, now: Timestamp, svc: &ServiceState<P>, backend: &Backend, region: &Region) -> bool {
+        svc.routing.accepts(now, backend)
+            && (*region == self.cfg.region || svc.routing.has_reported_room(now, backend))
     }
 
     /// Slots that daemons of `region` may still get: all spare ones for the own region; for others as many as keep
@@ -136,9 +139,11 @@
 
     fn region_load(&self, now: Timestamp, service: &Service) -> RegionLoad {
         let mut load = RegionLoad::default();
-        let backends = self.services.get(service).into_iter().flat_map(|svc| &svc.backends);
-        for backend in backends.filter(|b| b.is_local) {
-            if !self.routing.accepts(now, &backend.spec.name) {
+        let Some(svc) = self.services.get(service) else {
+            return load;
+        };
+        for backend in svc.backends.iter().filter(|b| b.is_local) {
+            if !svc.routing.accepts(now, &backend.spec.name) {
                 continue;
             }
             let share = self.ledger.share(&backend.key);
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -45,7 +45,7 @@
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
 use crate::operation::{Issuer, Minute, OperationConfig, OperationTable};
 use crate::quarantine::Quarantine;
-use crate::routing::{Policy, Routing, TwoChoices};
+use crate::routing::{Policy, TwoChoices};
 use crate::time::Timestamp;
 
 use borrowing::Asked;
@@ -91,7 +91,7 @@
     rng: Pcg32,
     entries: ConfigMap,
     contracts: BTreeMap<Customer, Contract>,
-    services: BTreeMap<Service, ServiceState>,
+    services: BTreeMap<Service, ServiceState<P>>,
     topology: Topology,
     fleet: Fleet,
     drains: BTreeSet<DrainScope>,
@@ -99,7 +99,7 @@
     ledger: Ledger,
     limits: Limits,
     claims: TokenBucket,
-    routing: Routing<P>,
+    vms_leaving: BTreeSet<Backend>,
     operations: OperationTable,
     quarantine: Quarantine,
     membership: Membership,
@@ -136,7 +136,7 @@
             ledger: Ledger::new(me, now),
             limits: Limits::default(),
             claims: claim_bucket(now),
-            routing: Routing::with_policy(P::default()),
+            vms_leaving: BTreeSet::new(),
             operations: OperationTable::new(me, OperationConfig::default()),
             quarantine: Quarantine::new(me),
             membership: Membership::new(me, cfg.domain.clone(), MembershipConfig::default(), now),
@@ -165,7 +165,7 @@
     bucket
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/crates/state/src/node/peers.rs
+++ b/crates/state/src/node/peers.rs
@@ -16,7 +16,7 @@
 /// Least time between two fetches from the same daemon.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     pub(super) fn on_message(
         &mut self,
         now: Timestamp,
--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -84,7 +84,7 @@
     Refusal { outcome: Outcome::Unknown, reason, retry_after: None }
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     fn terms(&self, customer: &Customer, service: &Service) -> Option<&ServiceTerms> {
         self.contracts.get(customer)?.services.iter().find(|t| t.service == *service)
     }
@@ -392,7 +392,6 @@
         };
         let service = pending.req.service.clone();
         let ran_alone = pending.alone.then_some(pending.req.fingerprint);
-        self.routing.on_end(now, &attempt.backend, &ended.end);
         self.note_end(now, id, &attempt, &ended);
         self.release(now, &service, attempt.holds, &ended.end);
         match ended.end {
@@ -424,6 +423,7 @@
         let Some(svc) = self.services.get_mut(&req.service) else {
             return;
         };
+        svc.routing.on_end(now, &attempt.backend, &ended.end);
         svc.running = svc.running.saturating_sub(1);
         if let AttemptEnd::Ran { .. } = ended.end {
             svc.earn_retry();
--- a/crates/state/src/node/service.rs
+++ b/crates/state/src/node/service.rs
@@ -8,6 +8,7 @@
 use crate::ledger::{Hold, LimitKey};
 use crate::model::{BackendSpec, ServiceSpec};
 use crate::node::requests::Pending;
+use crate::routing::{Policy, Routing};
 use crate::time::Timestamp;
 
 /// Retries that each success pays for, in thousandths. Retries then add at most a tenth to the load in a flood.
@@ -43,11 +44,12 @@
 }
 
 #[derive(Debug)]
-pub(super) struct ServiceState {
+pub(super) struct ServiceState<P> {
     pub(super) spec: ServiceSpec,
     pub(super) backends: Vec<BackendState>,
     pub(super) lenders: Vec<Lender>,
     pub(super) admission: Admission,
+    pub(super) routing: Routing<P>,
     /// Requests that must run alone on a backend server.
     pub(super) alone: VecDeque<RequestId>,
     pub(super) late: Vec<LateHold>,
@@ -59,14 +61,15 @@
     retry_credit: u32,
 }
 
-impl ServiceState {
-    pub(super) fn new(spec: ServiceSpec, now: Timestamp) -> Self {
+impl<P: Policy> ServiceState<P> {
+    pub(super) fn new(spec: ServiceSpec, policy: P, now: Timestamp) -> Self {
         let admission = Admission::new(AdmissionConfig::for_service(&spec), now);
         Self {
             spec,
             backends: Vec::new(),
             lenders: Vec::new(),
             admission,
+            routing: Routing::with_policy(policy),
             alone: VecDeque::new(),
             late: Vec::new(),
             denied: BTreeMap::new(),
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -6,7 +6,7 @@
 use crate::ledger::{Hold, Units};
 use crate::node::limits::{link_key, shift_key};
 use crate::node::requests::Attempt;
-use crate::node::service::LateHold;
+use crate::node::service::{LateHold, ServiceState};
 use crate::node::{Dispatch, Effect, Node};
 use crate::quarantine::Verdict;
 use crate::routing::{AttemptEnd, Candidate, Policy};
@@ -19,7 +19,7 @@
 /// Bits per kbit.
 const KBIT: u32 = 1_000;
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Slots of the service that this daemon may use now, its own and borrowed ones.
     pub(super) fn usable_slots(&self, now: Timestamp, service: &Service) -> u32 {
         let Some(svc) = self.services.get(service) else {
@@ -27,7 +27,7 @@
         };
         let mut slots = 0;
         for backend in &svc.backends {
-            if !self.routing.accepts(now, &backend.spec.name) {
+            if !svc.routing.accepts(now, &backend.spec.name) {
                 continue;
             }
             slots += self.ledger.usable(now, &backend.key).0;
@@ -113,7 +113,7 @@
         for backend in svc.backends.iter().filter(|b| b.is_local) {
             let usable = self.ledger.usable(now, &backend.key);
             let idle = usable > Units(0) && self.ledger.free(now, &backend.key) == usable;
-            if idle && self.routing.accepts(now, &backend.spec.name) {
+            if idle && svc.routing.accepts(now, &backend.spec.name) {
                 return Some(backend.spec.name.clone());
             }
         }
@@ -132,13 +132,20 @@
             return true;
         };
         let (service, avoid) = (pending.req.service.clone(), pending.avoid.clone());
-        if let Some(backend) = self.pick(now, &service, true, avoid.as_ref()) {
-            return self.start_on(now, id, &backend, Units(1), out);
-        }
-        let Some(backend) = self.pick(now, &service, false, avoid.as_ref()) else {
-            return false;
+        let (backend, is_local) = match self.pick(now, &service, true, avoid.as_ref()) {
+            Some(backend) => (backend, true),
+            None => match self.pick(now, &service, false, avoid.as_ref()) {
+                Some(backend) => (backend, false),
+                None => return false,
+            },
         };
-        self.take_shift(now, id, &backend) && self.start_on(now, id, &backend, Units(1), out)
+        let may_leave = is_local || self.take_shift(now, id, &backend);
+        let started = may_leave && self.start_on(now, id, &backend, Units(1), out);
+        if let Some(svc) = self.services.get_mut(&service).filter(|_| !started) {
+            // Every pick must end, or a trial of a half-open circuit would stay under way.
+            svc.routing.on_end(now, &backend, &AttemptEnd::Cancelled);
+        }
+        started
     }
 
     fn pick(
@@ -148,17 +155,17 @@
         local: bool,
         avoid: Option<&Backend>,
     ) -> Option<Backend> {
-        let svc = self.services.get(service)?;
-        let mut candidates = Vec::with_capacity(svc.backends.len());
-        for backend in svc.backends.iter().filter(|b| b.is_local == local) {
+        let ServiceState { backends, routing, .. } = self.services.get_mut(service)?;
+        let mut candidates = Vec::with_capacity(backends.len());
+        for backend in backends.iter().filter(|b| b.is_local == local) {
             let free = self.ledger.free(now, &backend.key).0;
-            if free == 0 || !self.routing.accepts(now, &backend.spec.name) {
+            if free == 0 || !routing.accepts(now, &backend.spec.name) {
                 continue;
             }
             let usable = self.ledger.usable(now, &backend.key).0;
             candidates.push(Candidate { backend: &backend.spec.name, free, usable, same_region: local });
         }
-        self.routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
+        routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
     }
 
     /// Charges a request that leaves the region to the contract's shift cap and to the links.
--- a/crates/state/src/node/status.rs
+++ b/crates/state/src/node/status.rs
@@ -40,7 +40,7 @@
     Percent(u8::try_from(percent).unwrap_or(u8::MAX))
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Renders the status text. The last decisions are an input, so that a verdict does not alternate at a limit.
     pub(super) fn refresh_status(&mut self, now: Timestamp) {
         let mut decisions = BTreeMap::new();
@@ -66,7 +66,7 @@
     }
 
     /// Part of this daemon's slots of the service that is in use. Waiting work counts as well.
-    fn service_load(&self, now: Timestamp, svc: &ServiceState) -> Percent {
+    fn service_load(&self, now: Timestamp, svc: &ServiceState<P>) -> Percent {
         let slots = self.usable_slots(now, &svc.spec.name);
         let waiting = u32::try_from(svc.waiting()).unwrap_or(u32::MAX);
         percent(svc.running.saturating_add(waiting), slots)
@@ -77,7 +77,7 @@
         now: Timestamp,
         subject: &Subject,
         terms: &ServiceTerms,
-        svc: &ServiceState,
+        svc: &ServiceState<P>,
         load: Percent,
     ) -> Decision {
         let rate = rate_key(&subject.customer, &subject.service);
@@ -92,7 +92,7 @@
     }
 
     /// Other regions that may take requests of the customer, the nearest first.
-    fn regions_with_room(&self, now: Timestamp, subject: &Subject, svc: &ServiceState) -> Vec<Region> {
+    fn regions_with_room(&self, now: Timestamp, subject: &Subject, svc: &ServiceState<P>) -> Vec<Region> {
         let shift = shift_key(&subject.customer, &subject.service, &self.cfg.region);
         let mut regions = Vec::new();
         if self.ledger.usable(now, &shift) == Units::ZERO {
--- a/crates/state/src/node/stopping.rs
+++ b/crates/state/src/node/stopping.rs
@@ -47,7 +47,7 @@
     }
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Whether a planned stop is under way. Answers then tell callers to close their connections.
     pub fn is_leaving(&self) -> bool {
         self.stop != StopPhase::Serving
--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -96,7 +96,7 @@
     pub members: Vec<MemberView>,
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// The view for the workers.
     pub fn view(&self, now: Timestamp) -> NodeView {
         NodeView {
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use medlarstair_state::model::*;
 use medlarstair_state::node::*;
 use medlarstair_state::operation::{CallerKey, HandoverTable, Issuer, Minute, RecordedAnswer, Token};
+use medlarstair_state::quarantine::Evidence;
 use medlarstair_state::routing::{AttemptEnd, LoadReport};
 use medlarstair_state::time::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -154,6 +155,7 @@
         send: usize,
         origin: (usize, u64, RequestId, u32),
         budget: Micros,
+        evidence: Option<Evidence>,
     },
     Claim {
         by: usize,
@@ -505,7 +507,7 @@
                 let body = answer.body.try_into().map_or(0, u64::from_le_bytes);
                 self.finish(node, request, Answer::Ran(body));
             }
-            Effect::Forward { request, to, budget } => {
+            Effect::Forward { request, to, budget, evidence } => {
                 let Some(call) = self.daemons[node].calls.get_mut(&request) else {
                     return;
                 };
@@ -513,7 +515,7 @@
                 let (send, step) = (call.send, call.step);
                 let (at, budget) = (to.0 as usize, u64::try_from(budget.as_micros()).unwrap());
                 let origin = (node, boot, request, step);
-                self.after(Self::delay(node, at), Happening::Forward { at, send, origin, budget });
+                self.after(Self::delay(node, at), Happening::Forward { at, send, origin, budget, evidence });
                 let event = Event::ForwardEnded { request, end: ForwardEnd::NoAnswer };
                 self.after(budget, Happening::StepEnded(node, boot, request, step, event, None));
             }
@@ -538,6 +540,8 @@
                 self.after(Self::delay(node, at), Happening::Handover { at, by: node, boot, parts });
             }
             Effect::AcceptHandover => self.daemons[node].accepted_handover = true,
+            // The schedules change no VM list, so no fleet change is proposed.
+            Effect::ProposeFleet { .. } => panic!("unexpected fleet change"),
             Effect::Watch(watch) => self.daemons[node].watching = watch,
             Effect::Notice(_) => {}
             Effect::Exit => {
@@ -669,14 +673,14 @@
                 let event = Event::HandoverAcknowledged { successor: self.daemons[at].member.node };
                 self.after(Self::delay(at, by), Happening::Event(by, boot, event));
             }
-            Happening::Forward { at, send, origin, budget } => {
+            Happening::Forward { at, send, origin, budget, evidence } => {
                 if !self.connected(at, origin.0) {
                     return;
                 }
                 if self.daemons[at].node.is_none() {
                     return self.no_answer(at, origin);
                 }
-                self.admit(at, send, Some(origin), budget);
+                self.admit(at, send, Some(origin), budget, evidence);
             }
             Happening::Claim { by, boot, request, step, name, issuer } => {
                 self.claim(by, boot, request, step, name, issuer)
@@ -695,7 +699,7 @@
                 if self.daemons[node].node.is_none() {
                     self.sends[send].answer = Some((self.now, Answer::Lost));
                 } else {
-                    self.admit(node, send, None, 2 * SEC);
+                    self.admit(node, send, None, 2 * SEC, None);
                 }
             }
             Happening::Fault(fault, begins) => self.apply_fault(fault, begins),
@@ -714,6 +718,7 @@
         send: usize,
         origin: Option<(usize, u64, RequestId, u32)>,
         budget: Micros,
+        evidence: Option<Evidence>,
     ) {
         let op = self.ops[self.sends[send].op].clone();
         self.next_request += 1;
@@ -730,6 +735,7 @@
             fingerprint: Fingerprint(op.fingerprint),
             body_bytes: 500,
             forwarded,
+            evidence,
         };
         self.feed(node, Event::Request(req));
     }
