Strengthen the tests of the share ledger

Change: the generator varies length, stalls and size of requests, makes all daemons busy or idle at once, shrinks renewals, and adds a limit that one daemon owns alone. Direct tests cover the slowest borrower against the fastest lender, the end of a loan, and a return that overtakes its request.

--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -24,7 +24,11 @@
 const RUN_OUT: Micros = 12_000_000;
 
 fn member(node: u32) -> FleetMember {
-    let region = if node % 7 < 5 { "east" } else { "west" };
+    let region = match node % 7 {
+        0 => "south",
+        1..=4 => "east",
+        _ => "west",
+    };
     let address = "127.0.0.1:7000".parse().unwrap();
     FleetMember {
         node: NodeId(node),
@@ -39,10 +43,15 @@
     Fleet { members: nodes.into_iter().map(member).collect(), previous: Vec::new() }
 }
 
-static LIMITS: LazyLock<[(LimitKey, Scope); 2]> = LazyLock::new(|| {
-    let home = Scope::Home { region: "east".parse().unwrap(), domain: "east-0".parse().unwrap() };
+/// The last limit belongs to daemon 0 alone, so that no idle share of another daemon hides a unit that is used twice.
+static LIMITS: LazyLock<[(LimitKey, Scope); 3]> = LazyLock::new(|| {
+    let home = |region: &str, domain: &str| Scope::Home {
+        region: region.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+    };
+    let slots = |backend: &str| LimitKey::Slots(backend.parse().unwrap());
     let rate = LimitKey::Rate("acme".parse().unwrap(), "stock".parse().unwrap());
-    [(LimitKey::Slots("b1".parse().unwrap()), home), (rate, Scope::Fleet)]
+    [(slots("b1"), home("east", "east-0")), (rate, Scope::Fleet), (slots("b2"), home("south", "south-0"))]
 });
 
 #[derive(Debug, Clone)]
@@ -67,7 +76,7 @@
     paused_until: Micros,
     busy: bool,
     /// Limits in force and the number of their value.
-    limits: [(u64, u32); 2],
+    limits: [(u64, u32); 3],
     /// Fleet in force: number of the value and since when.
     fleet: (u64, Micros),
     inbox: Vec<Message>,
@@ -91,11 +100,23 @@
     delay: Micros,
 }
 
+/// How daemons use limits.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    /// Probability that a request runs as long as it may.
+    long: f64,
+    /// Probability of a pause between the check and the dispatch of a request.
+    stalled: f64,
+    /// Most units that one request or one loan asks for.
+    bite: u32,
+}
+
 /// Several ledgers in one virtual real time.
 struct Sim {
     now: Micros,
     rng: Pcg32,
     net: Network,
+    load: Load,
     daemons: Vec<Daemon>,
     sent: BinaryHeap<Reverse<(Micros, u64, usize)>>,
     messages: Vec<Option<Message>>,
@@ -103,18 +124,19 @@
     /// Bit per daemon; daemons with different bits cannot reach each other.
     sides: u8,
     values: u64,
-    limits: [(u64, u32); 2],
+    limits: [(u64, u32); 3],
     fleet: (u64, Fleet),
     /// When each value of a limit was last in force at any daemon.
-    allowed: [BTreeMap<u32, Micros>; 2],
+    allowed: [BTreeMap<u32, Micros>; 3],
 }
 
 impl Sim {
-    fn new(seed: u64, net: Network, speeds: &[u64], limits: [u32; 2]) -> Self {
+    fn new(seed: u64, net: Network, load: Load, speeds: &[u64], limits: [u32; 3]) -> Self {
         let mut sim = Self {
             now: 1_000_000,
             rng: Pcg32::seed_from_u64(seed),
             net,
+            load,
             daemons: Vec::new(),
             sent: BinaryHeap::new(),
             messages: Vec::new(),
@@ -236,6 +258,8 @@
                 let mut items = vec![LoanItem { key: key.clone(), units: req.units }];
                 if req.renews.is_some() {
                     items = ledger.renewable(now, &req);
+                    let refused = if daemon.busy { self.rng.random_range(0..=self.load.bite) } else { 0 };
+                    items.iter_mut().for_each(|i| i.units = i.units.minus(Units(refused)));
                 }
                 let grant = ledger.lend(now, &req, &items);
                 self.post(d, req.id.borrower.node, Message::Grant(grant));
@@ -292,7 +316,8 @@
         let now = self.clock(d);
         let (key, _) = &LIMITS[k];
         while self.daemons[d].ledger.free(now, key) > Units::ZERO {
-            let units = self.daemons[d].ledger.free(now, key).0.min(self.rng.random_range(1..=4));
+            let units =
+                self.daemons[d].ledger.free(now, key).0.min(self.rng.random_range(1..=self.load.bite));
             let hold = self.daemons[d].ledger.acquire(now, key, Units(units)).unwrap();
             self.run(d, k, units, hold);
         }
@@ -301,7 +326,7 @@
             return;
         }
         let lender = home[self.rng.random_range(0..home.len())];
-        let units = Units(self.rng.random_range(1..=20));
+        let units = Units(self.rng.random_range(1..=self.load.bite));
         let request = self.daemons[d].ledger.borrow(now, lender, LoanWant::Limit(key.clone()), units);
         if let Some(request) = request {
             self.post(d, lender, Message::Request(request));
@@ -313,11 +338,17 @@
         let mut start = self.now;
         let mut latest = self.now + longest;
         if let Some(run_until) = hold.run_until() {
-            // The process may be paused between the check and the dispatch.
-            start += if self.rng.random_bool(0.1) { self.rng.random_range(0..longest) } else { 0 };
-            latest = (start + longest).min(self.real(d, run_until));
+            let until = self.real(d, run_until);
+            if self.rng.random_bool(self.load.stalled) {
+                start = self.rng.random_range(start..until);
+            }
+            latest = (start + longest).min(until);
         }
-        let run = if self.rng.random_bool(0.4) { longest } else { self.rng.random_range(1_000..500_000) };
+        let run = if self.rng.random_bool(self.load.long) {
+            longest
+        } else {
+            self.rng.random_range(1_000..500_000)
+        };
         let end = (start + run).min(latest);
         self.running.push(Running { daemon: d, key: k, units, start, end, hold: Some(hold) });
     }
@@ -368,6 +399,8 @@
 enum Op {
     Advance(u64),
     Busy(usize, bool),
+    /// Every daemon becomes busy or idle, but the given one (if it exists) the other way round.
+    Others(usize, bool),
     Pause(usize, u64),
     Restart(usize),
     Cut(u8),
@@ -382,11 +415,12 @@
         12 => (10..1_500_u64).prop_map(Op::Advance),
         2 => (8_000..14_000_u64).prop_map(Op::Advance),
         8 => (d.clone(), prop::bool::weighted(0.6)).prop_map(|(d, on)| Op::Busy(d, on)),
+        6 => (d.clone(), prop::bool::weighted(0.6)).prop_map(|(d, on)| Op::Others(d, on)),
         3 => (d.clone(), 100..16_000_u64).prop_map(|(d, ms)| Op::Pause(d, ms)),
         4 => d.prop_map(Op::Restart),
         1 => any::<u8>().prop_map(Op::Cut),
         2 => Just(Op::Heal),
-        1 => (0..2_usize, 0..60_u32).prop_map(|(k, limit)| Op::Limit(k, limit)),
+        1 => (0..3_usize, 0..60_u32).prop_map(|(k, limit)| Op::Limit(k, limit)),
         2 => any::<u8>().prop_map(Op::Fleet),
     ]
 }
@@ -396,6 +430,11 @@
     match *op {
         Op::Advance(ms) => sim.advance(Duration::from_millis(ms))?,
         Op::Busy(d, busy) => sim.daemons[d % n].busy = busy,
+        Op::Others(but, busy) => {
+            for (d, daemon) in sim.daemons.iter_mut().enumerate() {
+                daemon.busy = busy != (d == but);
+            }
+        }
         Op::Pause(d, ms) => sim.daemons[d % n].paused_until = sim.now + ms * 1_000,
         Op::Restart(d) => sim.restart(d % n),
         Op::Cut(sides) => sim.sides = sides,
@@ -420,14 +459,18 @@
     #[test]
     fn units_in_use_never_exceed_the_limit(
         seed: u64,
-        speeds in prop::collection::vec(prop::sample::select(vec![98_u64, 98, 99, 100, 101, 102, 102]), 2..=7),
-        limits in [1..40_u32, 1..80_u32],
+        speeds in prop::collection::vec(prop::sample::select(vec![98_u64, 100, 102]), 2..=7),
+        limits in [1..40_u32, 1..80_u32, 1..20_u32],
         lost in 0.0..0.4,
         doubled in 0.0..0.4,
-        delay in 1_000..400_000_u64,
+        delay in prop_oneof![Just(1_000_u64), 1_000..400_000_u64],
+        long in 0.1..1.0,
+        stalled in 0.0..0.8,
+        bite in prop_oneof![Just(1_u32), 2..20_u32],
         ops in prop::collection::vec(op(), 1..100),
     ) {
-        let mut sim = Sim::new(seed, Network { lost, doubled, delay }, &speeds, limits);
+        let load = Load { long, stalled, bite };
+        let mut sim = Sim::new(seed, Network { lost, doubled, delay }, load, &speeds, limits);
         for op in &ops {
             apply(&mut sim, op)?;
         }
@@ -439,12 +482,18 @@
 #[test]
 fn idle_units_can_be_borrowed_and_come_back() {
     let net = Network { lost: 0.0, doubled: 0.0, delay: 35_000 };
-    let mut sim = Sim::new(7, net, &[98, 102, 98, 102, 100, 102, 98], [24, 70]);
+    let mut sim = Sim::new(
+        7,
+        net,
+        Load { long: 0.4, stalled: 0.1, bite: 20 },
+        &[98, 102, 98, 102, 100, 102, 98],
+        [24, 70, 6],
+    );
     sim.daemons[0].busy = true;
     sim.advance(Duration::from_secs(5)).unwrap();
     for _ in 0..30 {
         sim.advance(Duration::from_secs(1)).unwrap();
-        for (k, limit) in [(0, 24), (1, 70)] {
+        for (k, limit) in [(0, 24), (1, 70), (2, 6)] {
             let usable = sim.daemons[0].ledger.usable(sim.clock(0), &LIMITS[k].0).0;
             assert!(usable * 10 >= limit * 9, "{usable} of {limit} units at {}", sim.now);
         }
@@ -477,7 +526,7 @@
 fn shares_sum_to_the_limit_and_grow_with_it() {
     for nodes in 1..=9 {
         let mut ledgers = started(&fleet(0..nodes));
-        for (key, scope) in LIMITS.iter() {
+        for (key, scope) in LIMITS.iter().filter(|(_, scope)| nodes > 2 || *scope == Scope::Fleet) {
             let mut before = vec![Units::ZERO; ledgers.len()];
             for limit in 0..=60 {
                 for ledger in &mut ledgers {
@@ -517,21 +566,72 @@
     }
 }
 
-/// Guards against a grant that outlives the boot of its lender: after the answer to an audit only the new boot counts.
-#[test]
-fn grants_of_earlier_boots_are_refused_after_an_audit() {
+/// Two started ledgers, a request of the first and the grant of the second.
+fn lent() -> (Vec<Ledger>, LoanRequest, LoanGrant) {
     let (key, scope) = &LIMITS[1];
-    let ledgers = &mut started(&fleet(0..2));
-    for ledger in ledgers.iter_mut() {
+    let mut ledgers = started(&fleet(0..2));
+    for ledger in &mut ledgers {
         ledger.set_limit(LATER, key.clone(), Units(10), scope.clone());
     }
     let want = LoanWant::Limit(key.clone());
     let request = ledgers[0].borrow(LATER, NodeId(1), want.clone(), Units(5)).unwrap();
     assert_eq!(ledgers[0].borrow(LATER, NodeId(1), want, Units(5)), None, "one is outstanding");
     let grant = ledgers[1].lend(LATER, &request, &[LoanItem { key: key.clone(), units: Units(5) }]);
+    (ledgers, request, grant)
+}
+
+/// Guards against a grant that outlives the boot of its lender: after the answer to an audit only the new boot counts.
+#[test]
+fn grants_of_earlier_boots_are_refused_after_an_audit() {
+    let (mut ledgers, _, grant) = lent();
     let lender = Incarnation { node: NodeId(1), boot: Boot(2) };
     assert!(ledgers[0].on_audit(LATER, &LoanAudit { lender }).loans.is_empty());
     assert!(!ledgers[0].on_grant(LATER, &grant));
     assert!(ledgers[0].on_grant(LATER, &LoanGrant { lender, ..grant.clone() }));
     assert!(!ledgers[0].on_grant(LATER, &LoanGrant { lender, ..grant }), "a duplicate");
 }
+
+/// Guards against work that starts after the term of its loan or may run longer than the loan.
+#[test]
+fn loans_limit_start_and_end_of_work() {
+    let (mut ledgers, _, grant) = lent();
+    let key = &LIMITS[1].0;
+    let received = LATER + Duration::from_millis(100);
+    assert!(ledgers[0].on_grant(received, &grant));
+    let base = ledgers[0].acquire(received, key, Units(5)).unwrap();
+    let borrowed = ledgers[0].acquire(received, key, Units(1)).unwrap();
+    assert_eq!((base.run_until(), borrowed.run_until()), (None, Some(LATER + LOAN_LIFETIME)));
+    assert_eq!(ledgers[0].free(LATER + LOAN_TERM - Duration::from_micros(1), key), Units(4));
+    assert!(ledgers[0].acquire(LATER + LOAN_TERM, key, Units(1)).is_none());
+    assert!(ledgers[0].idle_loans(LATER + LOAN_TERM).is_empty(), "in use");
+    ledgers[0].release(LATER + LOAN_TERM, borrowed);
+    assert_eq!(ledgers[0].idle_loans(LATER + LOAN_TERM).len(), 1);
+}
+
+/// Guards against units that stay reserved because the network delivers a return before a copy of its request.
+#[test]
+fn a_returned_loan_is_not_granted_again() {
+    let (mut ledgers, request, grant) = lent();
+    let key = &LIMITS[1].0;
+    assert_eq!(ledgers[1].lend(LATER, &request, &[]), grant, "a duplicate gets the same grant");
+    assert_eq!(ledgers[1].lendable(LATER, key), Units(0));
+    ledgers[1].on_return(LATER, &LoanReturn { id: request.id, accepted: true });
+    assert_eq!(ledgers[1].lendable(LATER, key), Units(5));
+    assert!(ledgers[1].lend(LATER, &request, &grant.items).items.is_empty());
+    assert_eq!(ledgers[1].lendable(LATER, key), Units(5));
+}
+
+/// Guards against a lender that uses lent units again while requests still run on the loan: the slowest borrower and
+/// the fastest lender, with requests that run until the end of the loan.
+#[test]
+fn loans_are_over_before_the_lender_uses_the_units() {
+    for (seed, delay) in (0..12).zip([1_000, 280_000].into_iter().cycle()) {
+        let net = Network { lost: 0.0, doubled: 0.0, delay };
+        let load = Load { long: 1.0, stalled: 0.9, bite: 1 };
+        let mut sim = Sim::new(seed, net, load, &[102, 98], [1, 20, 20]);
+        sim.daemons[1].busy = true;
+        sim.advance(Duration::from_secs(3)).unwrap();
+        sim.daemons[0].busy = true;
+        sim.advance(Duration::from_secs(40)).unwrap();
+    }
+}
