--- a/crates/state/src/ledger/granted.rs
+++ b/crates/state/src/ledger/granted.rs
@@ -5,7 +5,7 @@
 //! number of units of any loan in the chain until that loan is over, never their sum. A renewed loan can be smaller
 //! than the one it replaces; requests that run on the older one are covered until its own `hold_until`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::key::{LimitKey, Units};
 use super::message::{LoanId, LoanItem, LoanReturn};
@@ -20,9 +20,12 @@
     first: BTreeMap<LoanId, LoanId>,
     /// Units reserved over all chains.
     reserved: BTreeMap<LimitKey, Units>,
-    /// Returned loans, until the given time. A request or audit answer that the network delivers after the return
+    /// Loans that were returned a short time ago. A request or audit answer that the network delivers after the return
     /// must not reserve the units again.
-    returned: BTreeMap<LoanId, Timestamp>,
+    returned: BTreeSet<LoanId>,
+    /// Ends of the times in `returned`, in order because all are equally long.
+    forget_at: VecDeque<(Timestamp, LoanId)>,
+    /// When the first granted loan is over, or earlier.
     next_expiry: Option<Timestamp>,
 }
 
@@ -86,7 +89,7 @@
     }
 
     pub(super) fn is_returned(&self, id: &LoanId) -> bool {
-        self.returned.contains_key(id)
+        self.returned.contains(id)
     }
 
     fn chain_of(&self, id: &LoanId) -> Option<&Chain> {
@@ -103,7 +106,7 @@
         let known = renews.and_then(|r| self.first.get(&r).map(|first| (r, *first)));
         let first = known.map_or(loan.id, |(_, first)| first);
         self.first.insert(loan.id, first);
-        self.wake_at(loan.hold_until);
+        self.next_expiry = Some(self.next_expiry.map_or(loan.hold_until, |next| next.min(loan.hold_until)));
         self.change(first, |chain| {
             chain.loans.push(loan);
             known.map_or(Vec::new(), |(renewed, _)| chain.drop_covered(&renewed))
@@ -112,19 +115,21 @@
 
     /// Frees a returned loan at once.
     pub(super) fn on_return(&mut self, now: Timestamp, ret: &LoanReturn) {
-        let forget_at = now + with_drift_margin(LOAN_TERM);
-        self.returned.insert(ret.id, forget_at);
-        self.wake_at(forget_at);
+        if self.returned.insert(ret.id) {
+            self.forget_at.push_back((now + with_drift_margin(LOAN_TERM), ret.id));
+        }
         let Some(&first) = self.first.get(&ret.id) else { return };
         self.remove_where(first, |l| ret.accepted || l.id == ret.id);
     }
 
     /// Frees the loans that are over.
     pub(super) fn expire(&mut self, now: Timestamp) {
+        while let Some((_, id)) = self.forget_at.pop_front_if(|(at, _)| *at <= now) {
+            self.returned.remove(&id);
+        }
         if self.next_expiry.is_none_or(|at| now < at) {
             return;
         }
-        self.returned.retain(|_, at| now < *at);
         let is_over = |l: &GrantedLoan| l.hold_until <= now;
         let over: Vec<_> =
             self.chains.iter().filter(|(_, c)| c.loans.iter().any(is_over)).map(|(k, _)| *k).collect();
@@ -132,11 +137,7 @@
             self.remove_where(first, is_over);
         }
         let loans = self.chains.values().flat_map(|c| &c.loans).map(|l| l.hold_until);
-        self.next_expiry = loans.chain(self.returned.values().copied()).min();
-    }
-
-    fn wake_at(&mut self, at: Timestamp) {
-        self.next_expiry = Some(self.next_expiry.map_or(at, |next| next.min(at)));
+        self.next_expiry = loans.min();
     }
 
     fn remove_where(&mut self, first: LoanId, over: impl Fn(&GrantedLoan) -> bool) {
