--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 //! The lender reserves the units before its grant leaves, and frees them when the loan is returned or at the end of
 //! [`LOAN_LIFETIME`] plus [drift margin](with_drift_margin), counted from the grant. The borrower counts from the
 //! time at which it sent the request, which was earlier: it starts requests for [`LOAN_TERM`], and they end within
-//! [`MAX_RUN`](crate::model::MAX_RUN) after that. So the borrower's use of a loan is over before the lender uses the
+//! [`MAX_RUN`] after that. So the borrower's use of a loan is over before the lender uses the
 //! units again, whatever happens to the messages in between.
 //!
 //! # Renewal
@@ -101,7 +101,7 @@
 
 impl Hold {
     /// When the work must have ended at the latest. `None`: the base share pays, and the work is limited by
-    /// [`MAX_RUN`](crate::model::MAX_RUN) only.
+    /// [`MAX_RUN`] only.
     pub fn run_until(&self) -> Option<Timestamp> {
         self.run_until
     }
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -621,6 +621,25 @@
     assert_eq!(ledgers[1].lendable(LATER, key), Units(5));
 }
 
+/// Guards against a late copy of a renewed grant: returning it would free units on which requests still run.
+#[test]
+fn a_copy_of_a_renewed_grant_is_not_returned() {
+    let (mut ledgers, _, grant) = lent();
+    let key = &LIMITS[1].0;
+    assert!(ledgers[0].on_grant(LATER, &grant));
+    let _hold = ledgers[0].acquire(LATER, key, Units(10)).unwrap();
+    let renew_at = LATER + LOAN_TERM - RENEW_BEFORE;
+    let renewal = ledgers[0].renewals(renew_at).remove(0);
+    assert_eq!(ledgers[1].renewable(renew_at, &renewal), grant.items);
+    let smaller = LoanItem { key: key.clone(), units: Units(2) };
+    let renewed = ledgers[1].lend(renew_at, &renewal, &[smaller]);
+    assert!(ledgers[0].on_grant(renew_at, &renewed));
+    assert!(!ledgers[0].on_grant(renew_at, &grant));
+    assert!(ledgers[0].idle_loans(renew_at).is_empty());
+    assert_eq!(ledgers[0].usable(renew_at, key), Units(7));
+    assert_eq!(ledgers[1].usable(renew_at, key), Units(0), "reserved until the first loan is over");
+}
+
 /// Guards against a lender that uses lent units again while requests still run on the loan: the slowest borrower and
 /// the fastest lender, with requests that run until the end of the loan.
 #[test]
