Spread the home set of a backend server over its region; read shares before each charge

Cause: with four or more daemons in a domain, the slots of its backend servers were all held there, so losing these daemons would idle the servers; rate buckets kept the share of a loan for up to 100 ms after its end. Change: at most 2 of the 4 home daemons are of the server's own domain if the region has others; a bucket takes its rate from the ledger at each charge.

--- a/crates/state/src/ledger/division.rs
+++ b/crates/state/src/ledger/division.rs
@@ -17,6 +17,10 @@
 /// Most daemons among which the slots of one backend server are divided.
 pub const HOME_SET_MAX: usize = 4;
 
+/// Most daemons of a home set in the failure domain of the backend server, if its region has others: when the whole
+/// domain's daemons are lost, the others still hold slots of its backend servers.
+const IN_DOMAIN_MAX: usize = 2;
+
 /// Weight of a daemon in the failure domain of the backend server. It is the most likely to reach it.
 const DOMAIN_WEIGHT: u64 = 2;
 
@@ -104,13 +108,11 @@
         let own = self.domains.get(domain).map(Vec::as_slice).unwrap_or_default();
         let mut nodes = own.to_vec();
         by_score(&mut nodes, key_hash);
-        nodes.truncate(HOME_SET_MAX);
+        let mut others: Vec<_> = self.nodes.iter().copied().filter(|n| !own.contains(n)).collect();
+        by_score(&mut others, key_hash);
+        nodes.truncate(if others.is_empty() { HOME_SET_MAX } else { IN_DOMAIN_MAX });
         let in_domain = nodes.len();
-        if in_domain < HOME_SET_MAX {
-            let mut others: Vec<_> = self.nodes.iter().copied().filter(|n| !own.contains(n)).collect();
-            by_score(&mut others, key_hash);
-            nodes.extend(others.into_iter().take(HOME_SET_MAX - in_domain));
-        }
+        nodes.extend(others.into_iter().take(HOME_SET_MAX - in_domain));
         HomeSet { nodes: nodes.into(), in_domain }
     }
 }
--- a/crates/state/src/node/limits.rs
+++ b/crates/state/src/node/limits.rs
@@ -43,13 +43,16 @@
 }
 
 impl Limits {
-    /// Takes units of a limit. False if the share is used up or the limit is unknown.
-    pub(super) fn take(&mut self, now: Timestamp, key: &LimitKey, units: u32) -> bool {
+    /// Takes units of a limit. False if the share is used up or the limit is unknown. The share is read here, since a
+    /// loan may have ended since the last refresh.
+    pub(super) fn take(&mut self, now: Timestamp, ledger: &mut Ledger, key: &LimitKey, units: u32) -> bool {
         let Some(limited) = self.limited.get_mut(key) else {
             return false;
         };
+        limited.bucket.set_rate(now, ledger.usable(now, key).0);
         let taken = limited.bucket.take(now, units);
         if taken {
+            ledger.note_use(now, key);
             limited.taken = limited.taken.saturating_add(units);
         } else {
             limited.wanted = limited.wanted.saturating_add(units);
--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -116,7 +116,7 @@
             return Ok(deadline);
         }
         let key = rate_key(&req.customer, &req.service);
-        if !self.limits.take(now, &key, 1) {
+        if !self.limits.take(now, &mut self.ledger, &key, 1) {
             return Err(not_run(Reason::RateLimit, Some(self.limits.wait(now, &key, 1))));
         }
         Ok(deadline)
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -184,9 +184,9 @@
         let response_kbit = svc.response_bytes.saturating_mul(8).div_ceil(KBIT);
         let fits = self.limits.wait(now, &there, request_kbit).is_zero()
             && self.limits.wait(now, &back, response_kbit).is_zero();
-        fits && self.limits.take(now, &shift, 1)
-            && self.limits.take(now, &there, request_kbit)
-            && self.limits.take(now, &back, response_kbit)
+        fits && self.limits.take(now, &mut self.ledger, &shift, 1)
+            && self.limits.take(now, &mut self.ledger, &there, request_kbit)
+            && self.limits.take(now, &mut self.ledger, &back, response_kbit)
     }
 
     /// Starts a request on a backend server. The share is checked here, immediately before the dispatch.
