Name only known daemons in lookups

Cause: a daemon that has just started counted daemons it had not heard of as serving. Its lookups named stopped daemons, and gave token prefixes with boot 0, whose operations no daemon owns.

Ruled out: the time for which a leaving daemon serves; the request was sent 7.9 s after the stop began with a lookup that was answered after the stop ended.

Before: a request to a stopped daemon fails, with a planned stop and two other daemons that restart.

--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -139,7 +139,9 @@
         if member.node == self.cfg.me.node {
             return !self.is_leaving();
         }
-        let leaving = self.membership.member(member.node).is_some_and(|m| m.leaving);
+        // A daemon that has just started has not heard of the others: it knows neither whether they leave nor the
+        // boot that their tokens must name.
+        let leaving = self.membership.member(member.node).is_none_or(|m| m.leaving);
         !leaving && self.membership.liveness(now, member.node) != Liveness::Dead
     }
 
