--- a/crates/state/src/membership/mod.rs
+++ b/crates/state/src/membership/mod.rs
@@ -83,16 +83,10 @@
 /// A failure domain of the fleet.
 #[derive(Debug, Clone, Default)]
 struct DomainEntry {
-    /// All its daemons by rendezvous hash: the first live ones have its duties.
+    /// All its daemons by rendezvous hash: the first live ones are its delegates, the last its watchers.
     nodes: Vec<NodeId>,
     /// The latest summary; none for the own domain.
-    summary: Option<HeardSummary>,
-}
-
-#[derive(Debug, Clone)]
-struct HeardSummary {
-    summary: DomainSummary,
-    heard_at: Timestamp,
+    summary: Option<DomainSummary>,
 }
 
 /// What one daemon knows about the others.
@@ -120,8 +114,6 @@
     wanted_at: Option<Timestamp>,
     /// Turn of the delegates of other domains.
     far_turn: usize,
-    /// Turn of the summaries of other domains.
-    summary_turn: usize,
 }
 
 impl Membership {
@@ -154,7 +146,6 @@
             wants: true,
             wanted_at: None,
             far_turn: 0,
-            summary_turn: 0,
         };
         this.set_fleet(now, &Fleet::default());
         this
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod effect;
 mod event;
+mod fleet;
 mod lending;
 mod limits;
 mod message;
@@ -42,14 +43,15 @@
 use crate::ledger::{Ledger, LoanId};
 use crate::membership::{Liveness, Membership, MembershipConfig};
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
-use crate::operation::{Minute, OperationConfig, OperationTable};
+use crate::operation::{Issuer, Minute, OperationConfig, OperationTable};
 use crate::quarantine::Quarantine;
-use crate::routing::{Policy, Routing, TwoChoices};
+use crate::routing::{Policy, TwoChoices};
 use crate::time::Timestamp;
 
 use borrowing::Asked;
+use fleet::FleetWatch;
 use limits::Limits;
-use requests::Pending;
+use requests::{ClaimName, Pending};
 use service::ServiceState;
 use status::Status;
 use stopping::StopPhase;
@@ -89,7 +91,7 @@
     rng: Pcg32,
     entries: ConfigMap,
     contracts: BTreeMap<Customer, Contract>,
-    services: BTreeMap<Service, ServiceState>,
+    services: BTreeMap<Service, ServiceState<P>>,
     topology: Topology,
     fleet: Fleet,
     drains: BTreeSet<DrainScope>,
@@ -97,7 +99,7 @@
     ledger: Ledger,
     limits: Limits,
     claims: TokenBucket,
-    routing: Routing<P>,
+    vms_leaving: BTreeSet<Backend>,
     operations: OperationTable,
     quarantine: Quarantine,
     membership: Membership,
@@ -106,10 +108,14 @@
     accepting: BTreeMap<Backend, bool>,
     fetches: BTreeMap<NodeId, Timestamp>,
     asked: BTreeMap<LoanId, Asked>,
+    claimed: BTreeMap<ClaimName, Issuer>,
+    joined: BTreeSet<RequestId>,
     status: Status,
     watching: bool,
-    vms_seen: BTreeSet<NodeId>,
+    fleet_watch: FleetWatch,
     stop: StopPhase,
+    /// Whose operations went to the successor.
+    handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
     next_refresh: Timestamp,
 }
@@ -130,7 +136,7 @@
             ledger: Ledger::new(me, now),
             limits: Limits::default(),
             claims: claim_bucket(now),
-            routing: Routing::with_policy(P::default()),
+            vms_leaving: BTreeSet::new(),
             operations: OperationTable::new(me, OperationConfig::default()),
             quarantine: Quarantine::new(me),
             membership: Membership::new(me, cfg.domain.clone(), MembershipConfig::default(), now),
@@ -139,10 +145,13 @@
             accepting: BTreeMap::new(),
             fetches: BTreeMap::new(),
             asked: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            joined: BTreeSet::new(),
             status: Status::default(),
             watching: false,
-            vms_seen: BTreeSet::new(),
+            fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
+            handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
             cfg,
@@ -156,7 +165,7 @@
     bucket
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Effect>) {
         match event {
@@ -197,11 +206,13 @@
         }
         self.next_refresh = now + REFRESH;
         self.operations.expire(now);
+        self.expire_claims(now);
         self.quarantine.expire(now);
         self.refresh_limits(now);
         self.note_accepting(now, out);
         self.refresh_status(now);
         self.send_audits(now, out);
+        self.tend_fleet(now, out);
     }
 
     fn minute(&self, now: Timestamp) -> Minute {
--- a/crates/state/src/node/peers.rs
+++ b/crates/state/src/node/peers.rs
@@ -16,7 +16,7 @@
 /// Least time between two fetches from the same daemon.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     pub(super) fn on_message(
         &mut self,
         now: Timestamp,
@@ -39,8 +39,12 @@
                 self.ledger.on_audit_answer(now, &answer);
             }
             PeerMessage::Evidence(evidence) => self.quarantine.merge(now, &evidence),
-            PeerMessage::Leaving { owner, successor } if owner == from && successor != self.cfg.me.node => {
-                self.operations.set_successor(owner, successor);
+            PeerMessage::Leaving { owners, successor }
+                if owners.first() == Some(&from) && successor != self.cfg.me.node =>
+            {
+                for owner in owners {
+                    self.operations.set_successor(owner, successor);
+                }
             }
             _ => {}
         }
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -6,8 +6,9 @@
 use crate::ledger::{Hold, Units};
 use crate::node::limits::{link_key, shift_key};
 use crate::node::requests::Attempt;
-use crate::node::service::LateHold;
+use crate::node::service::{LateHold, ServiceState};
 use crate::node::{Dispatch, Effect, Node};
+use crate::quarantine::Verdict;
 use crate::routing::{AttemptEnd, Candidate, Policy};
 use crate::time::Timestamp;
 
@@ -18,7 +19,7 @@
 /// Bits per kbit.
 const KBIT: u32 = 1_000;
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Slots of the service that this daemon may use now, its own and borrowed ones.
     pub(super) fn usable_slots(&self, now: Timestamp, service: &Service) -> u32 {
         let Some(svc) = self.services.get(service) else {
@@ -26,7 +27,7 @@
         };
         let mut slots = 0;
         for backend in &svc.backends {
-            if !self.routing.accepts(now, &backend.spec.name) {
+            if !svc.routing.accepts(now, &backend.spec.name) {
                 continue;
             }
             slots += self.ledger.usable(now, &backend.key).0;
@@ -60,35 +61,50 @@
         }
     }
 
+    /// Starts suspected requests, each alone on a backend server. One that cannot start does not hold up the others.
     fn start_alone(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
-        while let Some(id) = self.services.get(service).and_then(|svc| svc.alone.front().copied()) {
-            let Some(backend) = self.idle_backend(now, service) else {
-                return;
-            };
-            let Some(pending) = self.requests.get(&id) else {
-                self.drop_alone(service);
-                continue;
-            };
-            let fingerprint = pending.req.fingerprint;
-            let Some(run_start) = self.quarantine.start_alone(now, fingerprint) else {
-                return;
-            };
-            let units = self.free_on(now, service, &backend);
-            if !self.start_on(now, id, &backend, units, out) {
-                self.quarantine.finish_alone(fingerprint);
-                return;
-            }
-            if let Some(pending) = self.requests.get_mut(&id) {
-                pending.run_start = Some(run_start);
+        let Some(svc) = self.services.get_mut(service) else {
+            return;
+        };
+        for id in std::mem::take(&mut svc.alone) {
+            let waits = !self.start_one_alone(now, id, service, out);
+            if let Some(svc) = self.services.get_mut(service).filter(|_| waits) {
+                svc.alone.push_back(id);
             }
-            self.drop_alone(service);
         }
     }
 
-    fn drop_alone(&mut self, service: &Service) {
-        if let Some(svc) = self.services.get_mut(service) {
-            svc.alone.pop_front();
+    /// False if the request must wait.
+    fn start_one_alone(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        service: &Service,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(pending) = self.requests.get(&id) else {
+            return true;
+        };
+        let fingerprint = pending.req.fingerprint;
+        if let Verdict::Refused { until } = self.quarantine.check(now, fingerprint) {
+            self.refuse_quarantined(now, id, until, out);
+            return true;
         }
+        let Some(backend) = self.idle_backend(now, service) else {
+            return false;
+        };
+        let Some(run_start) = self.quarantine.start_alone(now, fingerprint) else {
+            return false;
+        };
+        let units = self.free_on(now, service, &backend);
+        if !self.start_on(now, id, &backend, units, out) {
+            self.quarantine.finish_alone(fingerprint);
+            return false;
+        }
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.run_start = Some(run_start);
+        }
+        true
     }
 
     /// A backend server of the own region on which this daemon runs nothing.
@@ -97,7 +113,7 @@
         for backend in svc.backends.iter().filter(|b| b.is_local) {
             let usable = self.ledger.usable(now, &backend.key);
             let idle = usable > Units(0) && self.ledger.free(now, &backend.key) == usable;
-            if idle && self.routing.accepts(now, &backend.spec.name) {
+            if idle && svc.routing.accepts(now, &backend.spec.name) {
                 return Some(backend.spec.name.clone());
             }
         }
@@ -116,13 +132,20 @@
             return true;
         };
         let (service, avoid) = (pending.req.service.clone(), pending.avoid.clone());
-        if let Some(backend) = self.pick(now, &service, true, avoid.as_ref()) {
-            return self.start_on(now, id, &backend, Units(1), out);
-        }
-        let Some(backend) = self.pick(now, &service, false, avoid.as_ref()) else {
-            return false;
+        let (backend, is_local) = match self.pick(now, &service, true, avoid.as_ref()) {
+            Some(backend) => (backend, true),
+            None => match self.pick(now, &service, false, avoid.as_ref()) {
+                Some(backend) => (backend, false),
+                None => return false,
+            },
         };
-        self.take_shift(now, id, &backend) && self.start_on(now, id, &backend, Units(1), out)
+        let may_leave = is_local || self.take_shift(now, id, &backend);
+        let started = may_leave && self.start_on(now, id, &backend, Units(1), out);
+        if let Some(svc) = self.services.get_mut(&service).filter(|_| !started) {
+            // Every pick must end, or a trial of a half-open circuit would stay under way.
+            svc.routing.on_end(now, &backend, &AttemptEnd::Cancelled);
+        }
+        started
     }
 
     fn pick(
@@ -132,17 +155,17 @@
         local: bool,
         avoid: Option<&Backend>,
     ) -> Option<Backend> {
-        let svc = self.services.get(service)?;
-        let mut candidates = Vec::with_capacity(svc.backends.len());
-        for backend in svc.backends.iter().filter(|b| b.is_local == local) {
+        let ServiceState { backends, routing, .. } = self.services.get_mut(service)?;
+        let mut candidates = Vec::with_capacity(backends.len());
+        for backend in backends.iter().filter(|b| b.is_local == local) {
             let free = self.ledger.free(now, &backend.key).0;
-            if free == 0 || !self.routing.accepts(now, &backend.spec.name) {
+            if free == 0 || !routing.accepts(now, &backend.spec.name) {
                 continue;
             }
             let usable = self.ledger.usable(now, &backend.key).0;
             candidates.push(Candidate { backend: &backend.spec.name, free, usable, same_region: local });
         }
-        self.routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
+        routing.pick(now, &mut self.rng, &candidates, avoid).cloned()
     }
 
     /// Charges a request that leaves the region to the contract's shift cap and to the links.
