Add medlarctl and the example

Cause: operators had no command line, a recorded trace did not say whose it was, and nothing told an operator which revision of a key a daemon holds and since when. Change: medlarctl has contract, service, drain, fleet, status, in-force, timeline, report, stop, call, check and replay, with exit codes. Writes are compare-and-swap with a fresh change id, and a lost answer is settled by reading back. In coordination: the first line of a trace is a header with the node's configuration (module trace), and GET /ops/held/{key} shows the entry that a daemon holds, with its age on the daemon's own clock. The second step of a fleet change needs that age.

--- a/crates/coordination/src/daemon.rs
+++ b/crates/coordination/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::io;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -12,6 +13,7 @@
 use medlarstair_state::id::{Boot, Incarnation};
 use medlarstair_state::node::{Event, Node, NodeConfig};
 use medlarstair_state::operation::Minute;
+use medlarstair_state::time::Timestamp;
 use medlarstair_transport::backend::BackendClient;
 use medlarstair_transport::clock::{BootClock, wall_ms};
 use medlarstair_transport::kv::{HttpStore, platform_client};
@@ -32,6 +34,7 @@
 use crate::snapshot::Snapshot;
 use crate::streams::StreamServer;
 use crate::timer::TimerService;
+use crate::trace::{TRACE_VERSION, TraceHeader, TraceWriter};
 use crate::watcher::{ConfigWatcher, load_first};
 
 /// Milliseconds per minute.
@@ -57,7 +60,9 @@
     let link =
         PeerLink::bind(me, settings.peer, settings.source, settings.keys.clone(), metrics.clone()).await?;
     let listener = TcpListener::bind(settings.peer).await?;
-    let node = Node::new(node_config(&settings, me, wall), clock.now());
+    let (cfg, started) = (node_config(&settings, me, wall), clock.now());
+    let trace = settings.trace_file.as_deref().map(|path| start_trace(path, &cfg, started)).transpose()?;
+    let node = Node::new(cfg, started);
     let snapshot = Snapshot::new(node.view(clock.now()));
     let timer = TimerService.start();
     let (exit, exited) = oneshot::channel();
@@ -69,7 +74,7 @@
         metrics: metrics.clone(),
         log: log.clone(),
         timer: timer.clone(),
-        trace: settings.trace_file.as_ref().map(File::create).transpose()?,
+        trace,
         exit,
     })
     .start();
@@ -99,6 +104,11 @@
     }
 }
 
+fn start_trace(path: &Path, node: &NodeConfig, started: Timestamp) -> io::Result<TraceWriter> {
+    let header = TraceHeader { version: TRACE_VERSION, node: node.clone(), started };
+    TraceWriter::start(File::create(path)?, &header)
+}
+
 struct Parts {
     settings: Settings,
     engine: Addr<Engine>,
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -4,8 +4,6 @@
 //! carried out here. The request path needs no lock for that: workers ask by message and wait for the next [`Step`].
 
 use std::collections::{HashMap, HashSet};
-use std::fs::File;
-use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +21,6 @@
 use medlarstair_state::quarantine::Evidence;
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::BootClock;
-use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 
@@ -33,6 +30,7 @@
 use crate::snapshot::Snapshot;
 use crate::timeline::Timeline;
 use crate::timer::{Subscribe, Ticked, TimerService};
+use crate::trace::TraceWriter;
 
 /// Period of the snapshot for the workers.
 const SNAPSHOT_PERIOD: Duration = Duration::from_millis(100);
@@ -150,6 +148,20 @@
 #[rtype(result = "OpsView")]
 pub struct GetOps;
 
+/// Asks for a configuration entry as this daemon holds it.
+#[derive(Debug, Message)]
+#[rtype(result = "Option<Held>")]
+pub struct GetHeld(pub Box<str>);
+
+/// A configuration entry as this daemon holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    /// The entry.
+    pub entry: Entry,
+    /// Time since it came into force here; zero if it is not valid and never did.
+    pub age: Duration,
+}
+
 /// Asks for recent events.
 #[derive(Debug, Message)]
 #[rtype(result = "Vec<TimelineEvent>")]
@@ -178,15 +190,6 @@
 #[rtype(result = "bool")]
 pub struct FetchFromSeeds(pub Vec<Seed>);
 
-/// One line of a recorded trace.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct TraceLine {
-    /// When the event was handled.
-    pub at: Timestamp,
-    /// The event.
-    pub event: Event,
-}
-
 /// What an engine is made of.
 #[derive(Debug)]
 pub struct EngineConfig {
@@ -205,11 +208,18 @@
     /// The timer service.
     pub timer: Addr<TimerService>,
     /// Where events are recorded.
-    pub trace: Option<File>,
+    pub trace: Option<TraceWriter>,
     /// Told when a planned stop is complete.
     pub exit: oneshot::Sender<()>,
 }
 
+/// When a revision of a key came into force here.
+#[derive(Debug)]
+struct Applied {
+    revision: Revision,
+    at: Timestamp,
+}
+
 /// Owner of the decision logic.
 #[derive(Debug)]
 pub struct Engine {
@@ -221,7 +231,8 @@
     log: Logger,
     timer: Addr<TimerService>,
     timeline: Timeline,
-    trace: Option<BufWriter<File>>,
+    trace: Option<TraceWriter>,
+    applied: HashMap<Box<str>, Applied>,
     exit: Option<oneshot::Sender<()>>,
     steps: HashMap<RequestId, oneshot::Sender<Step>>,
     watcher: Option<Recipient<Watch>>,
@@ -247,7 +258,8 @@
             metrics: cfg.metrics,
             log: cfg.log,
             timer: cfg.timer,
-            trace: cfg.trace.map(BufWriter::new),
+            trace: cfg.trace,
+            applied: HashMap::new(),
             exit: Some(cfg.exit),
             steps: HashMap::new(),
             watcher: None,
@@ -271,9 +283,8 @@
         let Some(trace) = &mut self.trace else {
             return;
         };
-        let line = serde_json::to_string(&TraceLine { at, event: event.clone() }).unwrap_or_default();
-        if writeln!(trace, "{line}").is_err() {
-            warn!(self.log, "the trace file cannot be written; recording ends"; "code" => 901);
+        if let Err(e) = trace.record(at, event) {
+            warn!(self.log, "the trace file cannot be written; recording ends: {e}"; "code" => 901);
             self.trace = None;
         }
     }
@@ -388,6 +399,10 @@
     }
 
     fn note(&mut self, notice: &Notice) {
+        if let Notice::ConfigApplied { key, revision } = notice {
+            let applied = Applied { revision: *revision, at: self.clock.now() };
+            self.applied.insert(key.clone(), applied);
+        }
         let at = self.link.now();
         self.timeline.record(at, notice);
         info!(self.log, "{notice}"; "code" => notice.code(), "event" => notice.name());
@@ -529,6 +544,19 @@
     }
 }
 
+impl Handler<GetHeld> for Engine {
+    type Result = MessageResult<GetHeld>;
+
+    fn handle(&mut self, GetHeld(key): GetHeld, _: &mut Self::Context) -> Self::Result {
+        let held = self.node.config_entry(&key).map(|entry| {
+            let applied = self.applied.get(&key).filter(|applied| applied.revision == entry.revision);
+            let age = applied.map_or(Duration::ZERO, |applied| self.clock.now().since(applied.at));
+            Held { entry: entry.clone(), age }
+        });
+        MessageResult(held)
+    }
+}
+
 impl Handler<GetTimeline> for Engine {
     type Result = MessageResult<GetTimeline>;
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod streams;
 pub mod timeline;
 pub mod timer;
+pub mod trace;
 pub mod watcher;
--- a/crates/coordination/src/ops.rs
+++ b/crates/coordination/src/ops.rs
@@ -11,6 +11,7 @@
     InForceReport, KvEntry, KvList, KvWritten, LimitReport, MemberReport, OpsReport, Timeline,
 };
 use medlarstair_protocol::convert::{CONFIG_PREFIX, parse_value};
+use medlarstair_state::config::Entry;
 use medlarstair_state::id::Revision;
 use medlarstair_state::membership::Liveness;
 use medlarstair_state::model::{ConfigValue, DrainScope};
@@ -20,7 +21,7 @@
 use serde::Deserialize;
 
 use crate::drain::{DrainCheck, check_drain};
-use crate::engine::{Engine, Feed, GetOps, GetServices, GetTimeline};
+use crate::engine::{Engine, Feed, GetHeld, GetOps, GetServices, GetTimeline};
 use crate::settings::OperatorToken;
 use crate::snapshot::Snapshot;
 
@@ -50,6 +51,7 @@
         .route("/report", web::get().to(report))
         .route("/in-force", web::get().to(in_force))
         .route("/timeline", web::get().to(timeline))
+        .route("/held/{key:.+}", web::get().to(held))
         .route("/stop", web::post().to(stop))
         .route("/config", web::get().to(list_config))
         .route("/config/{key:.+}", web::get().to(get_config))
@@ -148,27 +150,35 @@
     HttpResponse::ServiceUnavailable().body(format!("{e}\n"))
 }
 
+fn border_entry(entry: Entry) -> KvEntry {
+    KvEntry { key: entry.key.into(), revision: entry.revision.0, value: entry.value.map(Into::into) }
+}
+
+/// The entry that this daemon holds, also while the key-value service is down. The `Age` header counts the whole seconds
+/// since it came into force here, on the clock that includes time spent suspended: the second step of a fleet change
+/// depends on it, and wall clocks of two hosts cannot be compared.
+async fn held(key: web::Path<Box<str>>, state: Data<OpsState>) -> HttpResponse {
+    match state.engine.send(GetHeld(format!("{CONFIG_PREFIX}{key}").into())).await {
+        Ok(Some(held)) => HttpResponse::Ok()
+            .insert_header((header::AGE, held.age.as_secs().to_string()))
+            .json(border_entry(held.entry)),
+        Ok(None) => HttpResponse::NotFound().body("this daemon does not hold the key\n"),
+        Err(_) => stopping(),
+    }
+}
+
 async fn list_config(state: Data<OpsState>) -> HttpResponse {
     let listing = match state.store.list(CONFIG_PREFIX).await {
         Ok(listing) => listing,
         Err(e) => return unavailable(e),
     };
-    let entry = |e: medlarstair_state::config::Entry| KvEntry {
-        key: e.key.into(),
-        revision: e.revision.0,
-        value: e.value.map(Into::into),
-    };
-    let entries = listing.entries.into_iter().map(entry).collect();
+    let entries = listing.entries.into_iter().map(border_entry).collect();
     HttpResponse::Ok().json(KvList { revision: listing.revision.0, entries })
 }
 
 async fn get_config(key: web::Path<Box<str>>, state: Data<OpsState>) -> HttpResponse {
     match state.store.get(&format!("{CONFIG_PREFIX}{key}")).await {
-        Ok(Some(entry)) => HttpResponse::Ok().json(KvEntry {
-            key: entry.key.into(),
-            revision: entry.revision.0,
-            value: entry.value.map(Into::into),
-        }),
+        Ok(Some(entry)) => HttpResponse::Ok().json(border_entry(entry)),
         Ok(None) => HttpResponse::NotFound().body("there is no such key\n"),
         Err(e) => unavailable(e),
     }
--- a/crates/daemons/src/bin/medlarctl.rs
+++ b/crates/daemons/src/bin/medlarctl.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The command line for operators.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    medlarstair_daemons::ctl::main()
+}
--- /dev/null
+++ b/crates/daemons/src/ctl/stop.rs
@@ -0,0 +1,68 @@
+//! The planned stop of a daemon.
+
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use awc::http::{Method, StatusCode};
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::api::{Api, WRITE_TIMEOUT};
+use super::{CtlError, Exit, Report};
+
+/// Default limit in ms of a wait for the end. Callers with a cached lookup are served for 6 s, running requests take
+/// at most 10 s, and a handover that fails is given up after 5 s.
+const LIMIT_MS: u64 = 30_000;
+
+/// Pause between two polls.
+const POLL: Duration = Duration::from_millis(200);
+
+/// stop a daemon without interrupting a request
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stop")]
+pub struct StopArgs {
+    /// number of the daemon
+    #[argh(option)]
+    node: u32,
+    /// wait until it has ended
+    #[argh(switch)]
+    wait: bool,
+    /// limit of the wait in ms, 30000 by default
+    #[argh(option, default = "LIMIT_MS")]
+    limit_ms: u64,
+}
+
+/// Runs `medlarctl stop`.
+///
+/// # Errors
+///
+/// If the daemon is not known, does not answer or does not end in time.
+pub async fn run(api: &Api, args: &StopArgs) -> Result<Report, CtlError> {
+    let node = args.node;
+    let daemons = api.daemons().await?;
+    let Some(at) = daemons.get(&node) else {
+        return Err(CtlError::failed(format!(
+            "n{node} is not in the fleet; medlarctl fleet show lists the daemons"
+        )));
+    };
+    let Some(answer) = api.ask(*at, Method::POST, "/ops/stop", None, WRITE_TIMEOUT).await else {
+        let message = format!("n{node} at {at} does not answer; if its VM is gone, remove it from the fleet");
+        return Err(CtlError::new(Exit::Unreachable, message));
+    };
+    if answer.status != StatusCode::ACCEPTED {
+        answer.json::<serde_json::Value>()?;
+        return Err(CtlError::failed(format!("n{node} answered {}", answer.status)));
+    }
+    if !args.wait {
+        return Report::done(format!("n{node} is stopping\n"), &json!({ "node": node, "ended": false }));
+    }
+    let (started, limit) = (Instant::now(), Duration::from_millis(args.limit_ms));
+    while api.read(*at, "/status").await.is_some() {
+        if started.elapsed() >= limit {
+            let message = format!("n{node} is still stopping; look at its log and the timeline");
+            return Err(CtlError::failed(message));
+        }
+        sleep(POLL).await;
+    }
+    Report::done(format!("n{node} has ended\n"), &json!({ "node": node, "ended": true }))
+}
--- /dev/null
+++ b/crates/daemons/src/ctl/values.rs
@@ -0,0 +1,210 @@
+//! Contracts and services.
+//!
+//! `get` prints the value with its revision in the field `revision`, and `put` expects the key to have that revision
+//! still. So a change of another operator between the two is noticed and never overwritten.
+
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use medlarstair::protocol::border::{KvEntry, KvList};
+use serde::Serialize;
+use serde_json::Value;
+
+use super::api::Api;
+use super::in_force::{LIMIT_MS, Target, after_change};
+use super::{CtlError, Report, change};
+
+/// Field that carries the revision from `get` to `put`.
+const REVISION: &str = "revision";
+
+/// read and change contracts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "contract")]
+pub struct ContractArgs {
+    #[argh(subcommand)]
+    command: ContractCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum ContractCommand {
+    Get(GetArgs),
+    Put(PutArgs),
+    List(ListArgs),
+    Delete(DeleteArgs),
+}
+
+/// read and change services
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "service")]
+pub struct ServiceArgs {
+    #[argh(subcommand)]
+    command: ServiceCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum ServiceCommand {
+    Get(GetArgs),
+    Put(PutArgs),
+    List(ListArgs),
+}
+
+/// print a value with its revision
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+struct GetArgs {
+    #[argh(positional)]
+    name: String,
+}
+
+/// write a value from a file
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "put")]
+struct PutArgs {
+    #[argh(positional)]
+    name: String,
+    /// JSON file, as printed by get; its field "revision" is the one that the key must have
+    #[argh(positional)]
+    file: PathBuf,
+    /// revision that the key must have, 0 if it must not exist; without it and the field, the present one
+    #[argh(option)]
+    expect: Option<u64>,
+    /// wait until the change is in force
+    #[argh(switch)]
+    wait: bool,
+    /// limit of the wait in ms, 4000 by default
+    #[argh(option, default = "LIMIT_MS")]
+    limit_ms: u64,
+}
+
+/// list names and revisions
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArgs {}
+
+/// delete a value
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "delete")]
+struct DeleteArgs {
+    #[argh(positional)]
+    name: String,
+    /// revision that the key must have; the present one by default
+    #[argh(option)]
+    expect: Option<u64>,
+    /// wait until the change is in force
+    #[argh(switch)]
+    wait: bool,
+    /// limit of the wait in ms, 4000 by default
+    #[argh(option, default = "LIMIT_MS")]
+    limit_ms: u64,
+}
+
+/// Runs `medlarctl contract`.
+///
+/// # Errors
+///
+/// See the exit codes.
+pub async fn contract(api: &Api, args: &ContractArgs) -> Result<Report, CtlError> {
+    match &args.command {
+        ContractCommand::Get(args) => get(api, "contract", &args.name).await,
+        ContractCommand::Put(args) => put(api, "contract", args).await,
+        ContractCommand::List(_) => list(api, "contract").await,
+        ContractCommand::Delete(args) => delete(api, "contract", args).await,
+    }
+}
+
+/// Runs `medlarctl service`.
+///
+/// # Errors
+///
+/// See the exit codes.
+pub async fn service(api: &Api, args: &ServiceArgs) -> Result<Report, CtlError> {
+    match &args.command {
+        ServiceCommand::Get(args) => get(api, "service", &args.name).await,
+        ServiceCommand::Put(args) => put(api, "service", args).await,
+        ServiceCommand::List(_) => list(api, "service").await,
+    }
+}
+
+fn missing(kind: &str, name: &str) -> CtlError {
+    CtlError::failed(format!("there is no {kind} {name}; medlarctl {kind} list shows the names"))
+}
+
+async fn get(api: &Api, kind: &str, name: &str) -> Result<Report, CtlError> {
+    let found = api.get(&format!("{kind}/{name}")).await?.ok_or_else(|| missing(kind, name))?;
+    let mut value = parse(found.value.as_deref().unwrap_or("null"), kind)?;
+    if let Some(fields) = value.as_object_mut() {
+        fields.insert(REVISION.into(), found.revision.into());
+    }
+    Report::done(format!("{value:#}\n"), &value)
+}
+
+fn parse(text: &str, what: &str) -> Result<Value, CtlError> {
+    serde_json::from_str(text).map_err(|e| CtlError::invalid(format!("{what}: not JSON: {e}")))
+}
+
+async fn put(api: &Api, kind: &str, args: &PutArgs) -> Result<Report, CtlError> {
+    let key = format!("{kind}/{}", args.name);
+    let mut value = parse(&read(&args.file)?, &args.file.display().to_string())?;
+    let noted = value.as_object_mut().and_then(|fields| fields.remove(REVISION)).and_then(|r| r.as_u64());
+    let expect = match args.expect.or(noted) {
+        Some(expect) => expect,
+        None => api.get(&key).await?.map_or(0, |found| found.revision),
+    };
+    let revision = change::put(api, &key, &mut value, expect, false).await?;
+    let done = format!("{key} has revision {revision}\n");
+    after_change(api, done, &Target::Written { key, revision }, args.wait.then_some(args.limit_ms)).await
+}
+
+fn read(path: &Path) -> Result<String, CtlError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| CtlError::invalid(format!("cannot read {}: {e}", path.display())))
+}
+
+async fn delete(api: &Api, kind: &str, args: &DeleteArgs) -> Result<Report, CtlError> {
+    let key = format!("{kind}/{}", args.name);
+    let found = api.get(&key).await?.ok_or_else(|| missing(kind, &args.name))?;
+    change::delete(api, &key, args.expect.unwrap_or(found.revision)).await?;
+    let done = format!("{key} is deleted\n");
+    after_change(api, done, &Target::Deleted { key }, args.wait.then_some(args.limit_ms)).await
+}
+
+/// One line of a list.
+#[derive(Debug, Serialize)]
+pub struct Listed {
+    /// The key without its prefix.
+    pub name: String,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// The keys below `kind/`.
+///
+/// # Errors
+///
+/// If no daemon answers, or the key-value service does not.
+pub async fn listed(api: &Api, kind: &str) -> Result<Vec<Listed>, CtlError> {
+    let list = api.read_any("/ops/config").await?.json::<KvList>()?;
+    let prefix = format!("config/{kind}/");
+    let named = |e: &KvEntry| {
+        let name = e.key.strip_prefix(&prefix)?.to_owned();
+        Some(Listed { name, revision: e.revision })
+    };
+    Ok(list.entries.iter().filter_map(named).collect())
+}
+
+/// Lists the keys below `kind/`.
+///
+/// # Errors
+///
+/// As for [`listed`].
+pub async fn list(api: &Api, kind: &str) -> Result<Report, CtlError> {
+    let listed = listed(api, kind).await?;
+    let mut text = String::new();
+    for Listed { name, revision } in &listed {
+        let _ = writeln!(text, "{name} revision={revision}");
+    }
+    Report::done(text, &listed)
+}
--- /dev/null
+++ b/crates/daemons/src/lib.rs
@@ -0,0 +1,3 @@
+//! The logic of the command line of medlarstair, in a library so that tests reach it.
+
+pub mod ctl;
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -26,6 +26,7 @@
 
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 
 pub use effect::{Dispatch, Effect, Outcome, Reason, Refusal};
 pub use event::{
@@ -68,7 +69,7 @@
 const CLAIM_BURST: Duration = Duration::from_secs(1);
 
 /// Who and where a daemon is.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeConfig {
     /// The daemon and its boot.
     pub me: Incarnation,
--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -201,6 +201,11 @@
         polled
     }
 
+    /// The entry of a configuration key as it is held here, deleted or not.
+    pub fn config_entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
     /// Keys and revisions in force, for a fetch from another daemon.
     pub fn config_summary(&self) -> Vec<KeyRevision> {
         self.entries.summary()
