--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -323,19 +323,29 @@
         match parsed {
             Ok(value) => Some(value),
             Err(e) => {
-                self.fault(section, key, format!("{}: {e}", path.display()));
+                // The value is not shown: somebody may have put the secret itself in place of the name of its file.
+                self.fault(section, key, format!("the file that it names: {e}"));
                 None
             }
         }
     }
 
+    /// Refuses unknown keys, and what would be ignored because only the first section of a name and the first key of a
+    /// name are read.
     fn refuse_unknown(&mut self) {
         let ini = self.ini;
+        let mut sections = BTreeSet::new();
         for (section, properties) in ini.iter() {
             let section = section.unwrap_or("");
+            let is_first = sections.insert(section);
+            let mut keys = BTreeSet::new();
             for (key, _) in properties.iter() {
                 if !self.known.iter().any(|(s, k)| *s == section && *k == key) {
                     self.fault(section, key, "is not known");
+                } else if !is_first {
+                    self.fault(section, key, "is in a second section of the same name");
+                } else if !keys.insert(key) {
+                    self.fault(section, key, "is given more than once");
                 }
             }
         }
--- a/crates/daemons/src/ctl/check.rs
+++ b/crates/daemons/src/ctl/check.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use argh::FromArgs;
-use medlarstair::coordination::settings::Settings;
+use medlarstair::coordination::settings::{Settings, SettingsError};
 use medlarstair::protocol::convert::{CONFIG_PREFIX, parse_value};
 use medlarstair::state::blocks::Blocks;
 use medlarstair::state::model::ConfigValue;
@@ -54,7 +54,10 @@
 pub fn run(args: &CheckArgs) -> Result<Report, CtlError> {
     let mut checked = Vec::new();
     for file in &args.files {
-        let fault = Settings::read(file).err().map(|e| e.to_string());
+        let fault = Settings::read(file).err().map(|e| match e {
+            SettingsError::File { source, .. } => format!("cannot be read: {source}"),
+            other => other.to_string(),
+        });
         checked.push(Checked { file: file.display().to_string(), fault });
     }
     for KeyFile { key, file } in &args.value {
