Add medlarctl config, for the first values of a deployment

Cause: the topology, client blocks and the first fleet value could only be written past medlarctl. Change: config get, put, list and delete take any key. The fleet can be written this way only once, and the fleet and the topology cannot be deleted. A lost answer is settled by comparing the whole value, which covers values without change id. Conclusion: a deployment can be set up with medlarctl alone.

--- a/crates/daemons/src/ctl/change.rs
+++ b/crates/daemons/src/ctl/change.rs
@@ -1,8 +1,8 @@
 //! Changes of the configuration by compare-and-swap.
 //!
-//! Every value names the change that wrote it. When an answer is lost, the value is read back: if it names this change,
-//! the change took effect. A write that is repeated has the same change id and expects the same revision, so it takes
-//! effect at most once.
+//! Every JSON value names the change that wrote it. When an answer is lost, the value is read back: if it is the same,
+//! change id included, the change took effect. A write that is repeated expects the same revision, so it takes effect
+//! at most once.
 
 use std::time::Duration;
 
@@ -31,7 +31,7 @@
 /// What is to be written.
 #[derive(Debug)]
 enum Write<'a> {
-    Put { text: &'a str, change_id: &'a str, force: bool },
+    Put { text: &'a str, force: bool },
     Delete,
 }
 
@@ -43,13 +43,21 @@
 /// Conflict if the key has another revision; invalid if the daemon does not accept the value; unreachable if the
 /// outcome could not be settled.
 pub async fn put(api: &Api, key: &str, value: &mut Value, expect: u64, force: bool) -> Result<u64, CtlError> {
-    let change_id = fresh_id();
     let Some(fields) = value.as_object_mut() else {
         return Err(CtlError::invalid(format!("{key}: the value must be a JSON object")));
     };
-    fields.insert(CHANGE_ID.into(), Value::from(change_id.as_str()));
-    let text = value.to_string();
-    write(api, key, expect, &Write::Put { text: &text, change_id: &change_id, force }).await
+    fields.insert(CHANGE_ID.into(), Value::from(fresh_id()));
+    write(api, key, expect, &Write::Put { text: &value.to_string(), force }).await
+}
+
+/// Writes a text that is not JSON, for example client blocks. It has no change id; the same text written by somebody
+/// else counts as this change.
+///
+/// # Errors
+///
+/// As for [`put`].
+pub async fn put_text(api: &Api, key: &str, text: &str, expect: u64) -> Result<u64, CtlError> {
+    write(api, key, expect, &Write::Put { text, force: false }).await
 }
 
 /// Deletes `key`, which must have the revision `expect`. Returns the last revision that is known.
@@ -111,7 +119,7 @@
         return Ok(None);
     };
     match (write, found) {
-        (Write::Put { change_id, .. }, Some(found)) if change_id_of(&found).as_deref() == Some(change_id) => {
+        (Write::Put { text, .. }, Some(found)) if found.value.as_deref() == Some(text) => {
             Ok(Some(found.revision))
         }
         (Write::Delete, None) => Ok(Some(expect)),
--- a/crates/daemons/src/ctl/fleet.rs
+++ b/crates/daemons/src/ctl/fleet.rs
@@ -136,8 +136,11 @@
 }
 
 async fn stored(api: &Api) -> Result<Stored, CtlError> {
-    let missing =
-        || CtlError::failed("there is no fleet value; write config/fleet when you set the deployment up");
+    let missing = || {
+        CtlError::failed(
+            "there is no fleet value yet; write the first one with medlarctl config put fleet FILE",
+        )
+    };
     let KvEntry { revision, value, .. } = api.get(KEY).await?.ok_or_else(missing)?;
     let fleet = serde_json::from_str(&value.ok_or_else(missing)?)
         .map_err(|e| CtlError::failed(format!("the fleet value cannot be read: {e}")))?;
--- a/crates/daemons/src/ctl/mod.rs
+++ b/crates/daemons/src/ctl/mod.rs
@@ -119,6 +119,7 @@
 enum Command {
     Contract(values::ContractArgs),
     Service(values::ServiceArgs),
+    Config(values::ConfigArgs),
     Drain(drain::DrainArgs),
     Fleet(fleet::FleetArgs),
     Status(status::StatusArgs),
@@ -141,6 +142,7 @@
     match &args.command {
         Command::Contract(args) => values::contract(&connect()?, args).await,
         Command::Service(args) => values::service(&connect()?, args).await,
+        Command::Config(args) => values::config(&connect()?, args).await,
         Command::Drain(args) => drain::run(&connect()?, args).await,
         Command::Fleet(args) => fleet::run(&connect()?, args).await,
         Command::Status(_) => status::run(&connect()?).await,
--- a/crates/daemons/src/ctl/values.rs
+++ b/crates/daemons/src/ctl/values.rs
@@ -1,4 +1,4 @@
-//! Contracts and services.
+//! Contracts, services and other configuration values.
 //!
 //! `get` prints the value with its revision in the field `revision`, and `put` expects the key to have that revision
 //! still. So a change of another operator between the two is noticed and never overwritten.
@@ -8,6 +8,7 @@
 
 use argh::FromArgs;
 use medlarstair::protocol::border::{KvEntry, KvList};
+use medlarstair::protocol::convert::CONFIG_PREFIX;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -51,6 +52,14 @@
     List(ListArgs),
 }
 
+/// read and change any configuration value by its key, for example topology or blocks/1
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "config")]
+pub struct ConfigArgs {
+    #[argh(subcommand)]
+    command: ContractCommand,
+}
+
 /// print a value with its revision
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "get")]
@@ -128,12 +137,54 @@
     }
 }
 
+/// Runs `medlarctl config`.
+///
+/// # Errors
+///
+/// See the exit codes.
+pub async fn config(api: &Api, args: &ConfigArgs) -> Result<Report, CtlError> {
+    match &args.command {
+        ContractCommand::Get(args) => get(api, ANY, &args.name).await,
+        ContractCommand::Put(args) => {
+            // Only the two steps of a fleet change keep every limit.
+            if args.name == FLEET && api.get(FLEET).await?.is_some() {
+                return Err(CtlError::invalid(
+                    "change the fleet with medlarctl fleet add, remove and finish",
+                ));
+            }
+            put(api, ANY, args).await
+        }
+        ContractCommand::List(_) => list(api, ANY).await,
+        ContractCommand::Delete(args) if [FLEET, "topology"].contains(&args.name.as_str()) => Err(
+            CtlError::invalid(format!("{} cannot be deleted: nothing could be served without it", args.name)),
+        ),
+        ContractCommand::Delete(args) => delete(api, ANY, args).await,
+    }
+}
+
+/// Kind of a name that is a whole key.
+const ANY: &str = "config";
+
+/// Key of the fleet.
+const FLEET: &str = "fleet";
+
+/// Prefix of the keys whose values are lines of text.
+const BLOCKS: &str = "blocks/";
+
+fn key_of(kind: &str, name: &str) -> String {
+    if kind == ANY { name.to_owned() } else { format!("{kind}/{name}") }
+}
+
 fn missing(kind: &str, name: &str) -> CtlError {
     CtlError::failed(format!("there is no {kind} {name}; medlarctl {kind} list shows the names"))
 }
 
 async fn get(api: &Api, kind: &str, name: &str) -> Result<Report, CtlError> {
-    let found = api.get(&format!("{kind}/{name}")).await?.ok_or_else(|| missing(kind, name))?;
+    let key = key_of(kind, name);
+    let found = api.get(&key).await?.ok_or_else(|| missing(kind, name))?;
+    if key.starts_with(BLOCKS) {
+        return Report::done(found.value.clone().unwrap_or_default(), &found);
+    }
     let mut value = parse(found.value.as_deref().unwrap_or("null"), kind)?;
     if let Some(fields) = value.as_object_mut() {
         fields.insert(REVISION.into(), found.revision.into());
@@ -146,25 +197,36 @@
 }
 
 async fn put(api: &Api, kind: &str, args: &PutArgs) -> Result<Report, CtlError> {
-    let key = format!("{kind}/{}", args.name);
-    let mut value = parse(&read(&args.file)?, &args.file.display().to_string())?;
-    let noted = value.as_object_mut().and_then(|fields| fields.remove(REVISION)).and_then(|r| r.as_u64());
-    let expect = match args.expect.or(noted) {
-        Some(expect) => expect,
-        None => api.get(&key).await?.map_or(0, |found| found.revision),
+    let key = key_of(kind, &args.name);
+    let text = read(&args.file)?;
+    let revision = if key.starts_with(BLOCKS) {
+        let expect = expected(api, &key, args.expect).await?;
+        change::put_text(api, &key, &text, expect).await?
+    } else {
+        let mut value = parse(&text, &args.file.display().to_string())?;
+        let noted = value.as_object_mut().and_then(|fields| fields.remove(REVISION)).and_then(|r| r.as_u64());
+        let expect = expected(api, &key, args.expect.or(noted)).await?;
+        change::put(api, &key, &mut value, expect, false).await?
     };
-    let revision = change::put(api, &key, &mut value, expect, false).await?;
     let done = format!("{key} has revision {revision}\n");
     after_change(api, done, &Target::Written { key, revision }, args.wait.then_some(args.limit_ms)).await
 }
 
+/// The given revision, or else the present one.
+async fn expected(api: &Api, key: &str, given: Option<u64>) -> Result<u64, CtlError> {
+    match given {
+        Some(expect) => Ok(expect),
+        None => Ok(api.get(key).await?.map_or(0, |found| found.revision)),
+    }
+}
+
 fn read(path: &Path) -> Result<String, CtlError> {
     std::fs::read_to_string(path)
         .map_err(|e| CtlError::invalid(format!("cannot read {}: {e}", path.display())))
 }
 
 async fn delete(api: &Api, kind: &str, args: &DeleteArgs) -> Result<Report, CtlError> {
-    let key = format!("{kind}/{}", args.name);
+    let key = key_of(kind, &args.name);
     let found = api.get(&key).await?.ok_or_else(|| missing(kind, &args.name))?;
     change::delete(api, &key, args.expect.unwrap_or(found.revision)).await?;
     let done = format!("{key} is deleted\n");
@@ -180,14 +242,14 @@
     pub revision: u64,
 }
 
-/// The keys below `kind/`.
+/// The keys below `kind/`, or all.
 ///
 /// # Errors
 ///
 /// If no daemon answers, or the key-value service does not.
 pub async fn listed(api: &Api, kind: &str) -> Result<Vec<Listed>, CtlError> {
     let list = api.read_any("/ops/config").await?.json::<KvList>()?;
-    let prefix = format!("config/{kind}/");
+    let prefix = if kind == ANY { CONFIG_PREFIX.to_owned() } else { format!("{CONFIG_PREFIX}{kind}/") };
     let named = |e: &KvEntry| {
         let name = e.key.strip_prefix(&prefix)?.to_owned();
         Some(Listed { name, revision: e.revision })
--- a/crates/daemons/tests/settings.rs
+++ b/crates/daemons/tests/settings.rs
@@ -136,7 +136,7 @@
             lines[i + 1..].iter().find(|l| l.contains(&format!("Self::{variant} ")) && l.contains('"'));
         let name = named.and_then(|l| quoted(l)).expect("a notice has a name").to_owned();
         let starts = |l: &&str| l.trim().strip_prefix(&variant).is_some_and(|r| r.starts_with([' ', ',']));
-        let at = lines.iter().position(|l| starts(&l)).expect("a notice has a variant");
+        let at = lines.iter().position(starts).expect("a notice has a variant");
         let display = quoted(lines[at - 1]).expect("a notice has a form");
         let fields =
             display.split_whitespace().filter_map(|f| Some(f.split_once('=')?.0.to_owned())).collect();
