Let fleet finish accept that the daemons completed the change

Cause: daemons now write the second step of a fleet change themselves when the VM list tells them which members are gone, so the command could end with a conflict although the change was complete. Change: the command reads the fleet again with every poll and ends with 0 when no change is under way any more. Conclusion: either side may complete a change.

--- a/crates/daemons/src/ctl/fleet.rs
+++ b/crates/daemons/src/ctl/fleet.rs
@@ -231,24 +231,28 @@
 }
 
 async fn finish(api: &Api, args: &FinishArgs) -> Result<Report, CtlError> {
-    let Stored { revision, mut fleet } = stored(api).await?;
-    if fleet.previous.is_empty() {
-        return Report::done("no fleet change is under way\n", &json!({ "revision": revision }));
+    let mut stored = stored(api).await?;
+    if stored.fleet.previous.is_empty() {
+        return Report::done("no fleet change is under way\n", &json!({ "revision": stored.revision }));
     }
     let limit = if args.wait { Duration::from_millis(args.limit_ms) } else { Duration::ZERO };
     let started = Instant::now();
-    loop {
-        let obstacles = obstacles(api, revision, &fleet, &args.gone).await?;
+    let revision = loop {
+        let obstacles = obstacles(api, &stored, &args.gone).await?;
         if obstacles.is_empty() {
-            break;
+            stored.fleet.previous.clear();
+            break write(api, stored.revision, &stored.fleet).await?;
         }
         if started.elapsed() >= limit {
             return Err(CtlError::new(Exit::NotInForce, describe(&obstacles)));
         }
         sleep(POLL).await;
-    }
-    fleet.previous.clear();
-    let revision = write(api, revision, &fleet).await?;
+        // The daemons complete a change themselves when the VM list tells them enough.
+        stored = self::stored(api).await?;
+        if stored.fleet.previous.is_empty() {
+            break stored.revision;
+        }
+    };
     Report::done(
         format!("the fleet change is complete at revision {revision}\n"),
         &json!({ "revision": revision }),
@@ -270,12 +274,8 @@
     text + "\nuse --wait to wait"
 }
 
-async fn obstacles(
-    api: &Api,
-    revision: u64,
-    fleet: &FleetValue,
-    gone: &[u32],
-) -> Result<BTreeMap<u32, Obstacle>, CtlError> {
+async fn obstacles(api: &Api, stored: &Stored, gone: &[u32]) -> Result<BTreeMap<u32, Obstacle>, CtlError> {
+    let Stored { revision, fleet } = stored;
     let daemons = api.daemons().await?;
     let nodes = fleet.members.iter().chain(&fleet.previous).map(|m| m.node).collect::<BTreeSet<_>>();
     let heard = heard_of(api, &daemons).await;
@@ -288,7 +288,7 @@
             None if !gone.contains(&node) => Some(Obstacle::Silent),
             None => heard.contains(&node).then_some(Obstacle::NotGone),
             Some(answer) => match answer.json::<KvEntry>() {
-                Ok(entry) if entry.revision == revision => {
+                Ok(entry) if entry.revision == *revision => {
                     let seconds = joint_seconds().saturating_sub(answer.age_s.unwrap_or(0));
                     (seconds > 0).then_some(Obstacle::Younger { seconds })
                 }
