--- /dev/null
+++ b/crates/daemons/src/ctl/mod.rs
@@ -0,0 +1,3 @@
+//! Subcommands of `medlarctl`.
+
+pub mod load;
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -91,6 +91,9 @@
     /// second octet of all loopback addresses
     #[argh(option, default = "11")]
     block: u8,
+    /// factor of the typical run times; longer runs mean fewer requests/s for the same load
+    #[argh(option, default = "1")]
+    run_scale: u64,
 }
 
 fn main() -> ExitCode {
@@ -127,10 +130,13 @@
             serve(&relay.address().to_string())
         }
         Command::Deployment(args) => {
-            let Some(deployment) = Deployment::named(&args.name, args.block) else {
+            let Some(mut deployment) = Deployment::named(&args.name, args.block) else {
                 let message = format!("no deployment is called {:?}", args.name);
                 return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
             };
+            for service in &mut deployment.services {
+                service.typical_run_ms *= args.run_scale;
+            }
             deployment.write(&args.dir)?;
             let running = deployment.start()?;
             serve(&running.relay.address().to_string())
