--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -1,5 +1,7 @@
 //! Sending and receiving gossip.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 
@@ -9,7 +11,7 @@
 
 use super::message::{Beat, DEAD_MAX, DomainSummary, Gossip, MemberState, Packer};
 use super::record::{REVIVE_STEPS, Taken};
-use super::{HeardSummary, Liveness, Membership};
+use super::{Liveness, Membership};
 
 impl Membership {
     /// Ends a gossip period and returns the messages to send. `config` is the configuration in force.
@@ -57,7 +59,7 @@
         self.pack_beats(&mut packer, unchanged.chain(&far));
         let targets = live.sample(rng, self.cfg.fanout).chain(dead.choose(rng));
         // One target is enough for a summary, since every member passes it on.
-        let mut summary = self.next_summary();
+        let mut summary = self.any_summary(rng);
         for &target in targets {
             let mut packer = packer.clone();
             if let Some(summary) = summary.take() {
@@ -71,7 +73,7 @@
     fn send_far(&mut self, now: Timestamp, rng: &mut impl Rng, out: &mut Vec<(NodeId, Gossip)>) {
         let mut packer = Packer::new(self.my_state());
         packer.domain(self.own_summary(now));
-        if let Some(summary) = self.next_summary() {
+        if let Some(summary) = self.any_summary(rng) {
             packer.domain(summary);
         }
         let far = self.next_far_delegates(now);
@@ -125,10 +127,8 @@
         all.iter().copied().cycle().skip(from).take(count).collect()
     }
 
-    fn next_summary(&mut self) -> Option<DomainSummary> {
-        let known: Vec<_> = self.domains.values().filter_map(|entry| entry.summary.as_ref()).collect();
-        self.summary_turn = (self.summary_turn + 1) % known.len().max(1);
-        known.get(self.summary_turn).map(|heard| heard.summary.clone())
+    fn any_summary(&self, rng: &mut impl Rng) -> Option<DomainSummary> {
+        self.domains.values().filter_map(|entry| entry.summary.as_ref()).choose(rng).cloned()
     }
 
     fn pack_beats<'a>(&self, packer: &mut Packer, nodes: impl Iterator<Item = &'a NodeId>) {
@@ -179,8 +179,8 @@
         for &state in live.iter().filter_map(|&n| self.member(n)) {
             packer.member(state);
         }
-        for heard in self.domains.values().filter_map(|entry| entry.summary.clone()) {
-            packer.domain(heard.summary);
+        for summary in self.domains.values().filter_map(|entry| entry.summary.clone()) {
+            packer.domain(summary);
         }
         let messages = packer.finish();
         for target in std::mem::take(&mut self.wanted) {
@@ -232,9 +232,9 @@
         }
     }
 
-    /// Takes a summary unless it is older than what is known of its reporter, or the reporter is dead.
+    /// Takes a summary unless a newer one is known or its reporter is dead.
     fn take_summary(&mut self, now: Timestamp, summary: &DomainSummary) {
-        let Some(&reporter) = summary.delegates.first() else { return };
+        let Some(reporter) = summary.delegates.first() else { return };
         let of_domain = |m: &MemberState| self.domain_of.get(&m.id.node) == Some(&summary.domain);
         if summary.domain == self.domain || !summary.delegates.iter().all(of_domain) {
             return;
@@ -242,25 +242,35 @@
         for state in &summary.delegates {
             self.take_state(now, state);
         }
-        let Some(known) = self.member(reporter.id.node) else { return };
-        let current = known.id == reporter.id && known.heartbeat < reporter.heartbeat + REVIVE_STEPS;
-        if !current || self.record_liveness(now, reporter.id.node) == Liveness::Dead {
-            return;
-        }
-        let spare = self.far_limits.dead_after;
-        let Some(entry) = self.domains.get_mut(&summary.domain) else { return };
+        let Some(age) = self.summary_age(now, summary) else { return };
+        let Some(entry) = self.domains.get(&summary.domain) else { return };
         if let Some(held) = &entry.summary
-            && let Some(old) = held.summary.delegates.first()
+            && let Some(held_age) = self.summary_age(now, held)
+            && let Some(old) = held.delegates.first()
         {
-            let same = old.id == reporter.id;
             // A reporter that lacks the configuration of this daemon counts the members that lack it too, so it does
-            // not replace a fresh report that counts those that have it.
-            let counts_other = old.config == self.config && reporter.config != self.config;
-            let outdated = same && old.heartbeat >= reporter.heartbeat;
-            if outdated || (!same && counts_other && now.since(held.heard_at) < spare) {
+            // not replace a recent report of those that have it.
+            let counts_others = old.config == self.config && reporter.config != self.config;
+            let replaceable =
+                old.id == reporter.id || !counts_others || held_age >= self.far_limits.dead_after;
+            if age >= held_age || !replaceable {
                 return;
             }
         }
-        entry.summary = Some(HeardSummary { summary: summary.clone(), heard_at: now });
+        if let Some(entry) = self.domains.get_mut(&summary.domain) {
+            entry.summary = Some(summary.clone());
+        }
+    }
+
+    /// Time since a summary was made, by the heartbeats of its reporter since. None if the reporter is dead or has
+    /// restarted.
+    fn summary_age(&self, now: Timestamp, summary: &DomainSummary) -> Option<Duration> {
+        let reporter = summary.delegates.first()?;
+        let known = self.member(reporter.id.node).filter(|known| known.id == reporter.id)?;
+        if self.record_liveness(now, reporter.id.node) == Liveness::Dead {
+            return None;
+        }
+        let periods = known.heartbeat.saturating_sub(reporter.heartbeat);
+        Some(self.cfg.period.saturating_mul(u32::try_from(periods).unwrap_or(u32::MAX)))
     }
 }
--- a/crates/state/src/membership/view.rs
+++ b/crates/state/src/membership/view.rs
@@ -4,7 +4,7 @@
 use crate::time::Timestamp;
 
 use super::message::MemberState;
-use super::{DomainEntry, HeardSummary, Liveness, Membership};
+use super::{DomainEntry, Liveness, Membership};
 
 /// State of one failure domain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,7 +35,7 @@
             return known;
         }
         let mut summaries = entry.summary.iter();
-        if summaries.any(|heard| heard.summary.dead.contains(&node)) {
+        if summaries.any(|summary| summary.dead.contains(&node)) {
             return Liveness::Dead;
         }
         self.tracked(entry).map(|n| self.record_liveness(now, n)).min().unwrap_or(Liveness::Dead)
@@ -58,12 +58,21 @@
 
     /// The daemons that exchange summaries for the own domain, leaving ones included until they stop.
     pub fn delegates(&self, now: Timestamp) -> Vec<NodeId> {
-        self.on_duty(now, self.cfg.delegates, |_| true)
+        self.on_duty(now, self.cfg.delegates, self.near_nodes().iter(), |_| true)
     }
 
     /// The daemons of the own domain that watch the key-value service, leaving ones excluded. Never empty.
+    ///
+    /// The last by rendezvous hash: the first are delegates, and the two duties together would bring one daemon of
+    /// the design size close to its 17 kB/s.
     pub fn watchers(&self, now: Timestamp) -> Vec<NodeId> {
-        self.on_duty(now, self.cfg.watchers, |node| !self.is_leaving(node))
+        let last_first = self.near_nodes().iter().rev();
+        self.on_duty(now, self.cfg.watchers, last_first, |node| !self.is_leaving(node))
+    }
+
+    /// The daemons of the own domain by rendezvous hash.
+    fn near_nodes(&self) -> &[NodeId] {
+        &self.domains[&self.domain].nodes
     }
 
     fn is_leaving(&self, node: NodeId) -> bool {
@@ -87,7 +96,7 @@
         if *domain == self.domain {
             return self.own_counts(now);
         }
-        let Some(HeardSummary { summary, .. }) = &entry.summary else { return (0, 0) };
+        let Some(summary) = &entry.summary else { return (0, 0) };
         if self.tracked(entry).all(|n| self.record_liveness(now, n) == Liveness::Dead) {
             return (0, 0);
         }
@@ -99,7 +108,7 @@
     pub(super) fn own_counts(&self, now: Timestamp) -> (usize, usize) {
         let mut live = 0;
         let mut in_force = 0;
-        for &node in &self.domains[&self.domain].nodes {
+        for &node in self.near_nodes() {
             if self.record_liveness(now, node) == Liveness::Dead {
                 continue;
             }
@@ -116,17 +125,23 @@
     pub(super) fn tracked(&self, entry: &DomainEntry) -> impl Iterator<Item = NodeId> {
         let own = entry.nodes.contains(&self.me.node);
         let count = if own { entry.nodes.len() } else { self.cfg.delegates };
-        let reported = entry.summary.iter().flat_map(|heard| &heard.summary.delegates).map(|m| m.id.node);
+        let reported = entry.summary.iter().flat_map(|summary| &summary.delegates).map(|m| m.id.node);
         let expected = entry.nodes.iter().copied().take(count);
         let none_reported = entry.summary.is_none();
         reported.chain(expected.filter(move |_| none_reported))
     }
 
-    /// The first `count` fit daemons of the own domain that are alive. A suspected one is passed over so that its duty
+    /// The first `count` fit daemons in `order` that are alive. A suspected one is passed over so that its duty
     /// moves after 1 s and not after 3 s; two daemons with the same duty do no harm.
-    fn on_duty(&self, now: Timestamp, count: usize, fit: impl Fn(NodeId) -> bool) -> Vec<NodeId> {
+    fn on_duty<'a>(
+        &self,
+        now: Timestamp,
+        count: usize,
+        order: impl Iterator<Item = &'a NodeId>,
+        fit: impl Fn(NodeId) -> bool,
+    ) -> Vec<NodeId> {
         let mut nodes = Vec::with_capacity(count);
-        for &node in &self.domains[&self.domain].nodes {
+        for &node in order {
             if nodes.len() < count && fit(node) && self.record_liveness(now, node) == Liveness::Alive {
                 nodes.push(node);
             }
