--- a/crates/daemons/src/ctl/mod.rs
+++ b/crates/daemons/src/ctl/mod.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod fleet;
 pub mod in_force;
+pub mod load;
 pub mod replay;
 pub mod report;
 pub mod status;
@@ -130,6 +131,9 @@
     Call(call::CallArgs),
     Check(check::CheckArgs),
     Replay(replay::ReplayArgs),
+    Load(load::LoadArgs),
+    Trace(load::TraceArgs),
+    Results(load::ResultsArgs),
 }
 
 /// Runs a command.
@@ -153,9 +157,24 @@
         Command::Call(args) => call::run(&connect()?, args).await,
         Command::Check(args) => check::run(args),
         Command::Replay(args) => replay::run(args),
+        Command::Load(_) | Command::Trace(_) | Command::Results(_) => {
+            Err(CtlError::failed("this command runs outside of the async runtime"))
+        }
     }
 }
 
+/// Runs a command of the load tool, which has threads and runtimes of its own. `None` for other commands.
+fn run_load(args: &Args) -> Option<Result<Report, CtlError>> {
+    let result = match &args.command {
+        Command::Load(args) => args.run(),
+        Command::Trace(args) => args.run(),
+        Command::Results(args) => args.run(),
+        _ => return None,
+    };
+    let done = |()| Report { exit: Exit::Done, text: String::new(), json: Value::Null };
+    Some(result.map(done).map_err(|e| CtlError::failed(e.to_string())))
+}
+
 /// Parses the arguments of the process, runs the command and prints its report.
 pub fn main() -> ExitCode {
     let args = std::env::args().skip(1).collect::<Vec<_>>();
@@ -172,7 +191,8 @@
         }
     };
     let as_json = args.json;
-    let exit = match actix::System::new().block_on(run(args)) {
+    let result = run_load(&args).unwrap_or_else(|| actix::System::new().block_on(run(args)));
+    let exit = match result {
         Ok(report) if as_json => {
             println!("{}", report.json);
             report.exit
