Follow the configuration prefix in the stand-ins' test

Cause: configuration keys moved below config/, and the test still read the fleet at its old key. Change: the test reads and compares the new key; the comparison is the same. Conclusion: no behaviour changes.

--- a/crates/standins/tests/deployment.rs
+++ b/crates/standins/tests/deployment.rs
@@ -82,9 +82,9 @@
     BufReader::new(child.0.stdout.take().expect("a pipe")).read_line(&mut line).expect("a line");
     let file = std::fs::read(dir.join("deployment.json")).expect("a file");
     let d: Deployment = serde_json::from_slice(&file).expect("a deployment");
-    let served = get(d.kv.real, "/kv/fleet").await.map(|answer| answer.json());
+    let served = get(d.kv.real, "/kv/config/fleet").await.map(|answer| answer.json());
     drop(child);
     assert!(line.starts_with("ready"), "{line}");
-    let written = std::fs::read(dir.join("kv/fleet.json")).expect("a file");
+    let written = std::fs::read(dir.join("kv/config/fleet.json")).expect("a file");
     assert_eq!(served, Some(serde_json::from_slice(&written).expect("JSON")));
 }
