Describe operations, and test that the page is complete

Cause: operators had no page about settings, commands and procedures. Tests check that it lists every setting, metric and reason of the code. The help of medlarctl lists the exit codes. Conclusion: a setting, metric or reason that the page does not have fails a test.

--- a/crates/daemons/src/ctl/api.rs
+++ b/crates/daemons/src/ctl/api.rs
@@ -7,6 +7,7 @@
 
 use awc::http::{Method, StatusCode, header};
 use awc::{Client, Connector};
+use futures_util::future::join_all;
 use medlarstair::protocol::border::{FleetMemberValue, FleetValue, InForceReport, KvEntry, LookupAnswer};
 use serde::de::DeserializeOwned;
 
@@ -195,11 +196,10 @@
                 daemons.extend(entry.address.parse().map(|address| (entry.node, address)));
             }
         }
-        for at in &self.entries {
-            if let Some(report) = self.read_json::<InForceReport>(*at, "/ops/in-force").await {
-                daemons.insert(report.node, *at);
-            }
-        }
+        let ask = |at: &SocketAddr| self.read_json::<InForceReport>(*at, "/ops/in-force");
+        let reports = join_all(self.entries.iter().map(ask)).await;
+        let given = reports.iter().zip(&self.entries);
+        daemons.extend(given.filter_map(|(report, at)| Some((report.as_ref()?.node, *at))));
         Ok(daemons)
     }
 
--- a/crates/daemons/src/ctl/mod.rs
+++ b/crates/daemons/src/ctl/mod.rs
@@ -97,6 +97,14 @@
 
 /// Steers the daemons of a medlarstair deployment.
 #[derive(Debug, FromArgs)]
+#[argh(
+    error_code(1, "failed or refused"),
+    error_code(2, "usage or input is not valid"),
+    error_code(3, "conflict: somebody else has changed the value"),
+    error_code(4, "no daemon answers, or the key-value service does not"),
+    error_code(5, "accepted, but not in force everywhere in time"),
+    note = "Options come before the command. docs/operations.md describes all commands."
+)]
 pub struct Args {
     /// address of a daemon for callers and operators; give several, and the next is used when one does not answer
     #[argh(option)]
--- a/crates/daemons/tests/ctl.rs
+++ b/crates/daemons/tests/ctl.rs
@@ -160,7 +160,10 @@
         shown += &format!("$ medlarctl {}\n{}{}", args.join(" "), ran.out, ran.err);
     }
     insta::assert_snapshot!("usage", shown);
-    assert_eq!(run(medlarctl(&["--help"])).code, Some(0));
+    let help = run(medlarctl(&["--help"]));
+    assert_eq!(help.code, Some(0));
+    let codes = help.out.split_once("Error codes:").expect("the help lists the exit codes").1;
+    assert!((1..=5).all(|code| codes.contains(&format!("\n  {code} "))), "{codes}");
 }
 
 /// Guards against lost updates, changes that are applied twice, and reports of changes that are not in force.
@@ -217,7 +220,9 @@
     assert!(ran.err.contains("--token-file"), "{ran:?}");
     cluster.platform.kv.set_faults(KvFaults { down: true, ..KvFaults::default() });
     operator.expect(4, "contract list");
-    operator.expect(0, "status");
+    for args in ["status", "in-force", "report", "timeline"] {
+        operator.expect(0, args);
+    }
     cluster.platform.kv.set_faults(KvFaults::default());
 
     // Accepted, but the daemons cannot learn of it in time.
@@ -324,6 +329,9 @@
     assert_eq!(dispatches, 3);
     assert!(replayed.out.ends_with("\"Exit\"}\n"));
 
+    // A daemon that is killed leaves an incomplete last line.
+    let recorded = common::read(trace.as_ref());
+    fs::write(&trace, recorded + "{\"at\":12").expect("the file can be written");
     let expected = cluster.dir.join("expected.jsonl");
     fs::write(&expected, &replayed.out).expect("the file can be written");
     let same = run(medlarctl(&["replay", &trace, "--expect", &expected.display().to_string()]));
--- a/crates/daemons/tests/settings.rs
+++ b/crates/daemons/tests/settings.rs
@@ -189,3 +189,44 @@
     let codes = documented.iter().map(|row| row.code).collect::<BTreeSet<_>>();
     assert_eq!(codes, notice_codes.union(&logged_codes()).copied().collect());
 }
+
+/// All texts between `before` and the next double quote in a source file.
+fn names_after(source: &str, before: &str) -> BTreeSet<String> {
+    source.split(before).skip(1).filter_map(|after| Some(after.split_once('"')?.0.to_owned())).collect()
+}
+
+/// Guards against settings, metrics and reasons that operators cannot look up.
+#[test]
+fn operations_page_lists_all_settings_metrics_and_reasons() {
+    let page = read(repository().join("docs/operations.md"));
+    let sources = repository().join("crates/coordination/src");
+    let metrics = names_after(&read(sources.join("metrics.rs")), "\"medlarstair_");
+    assert!(metrics.len() >= 9, "{metrics:?}");
+    for metric in metrics {
+        assert!(page.contains(&format!("| `medlarstair_{metric}` |")), "{metric} is missing");
+    }
+    let settings = read(sources.join("settings.rs"));
+    let mut keys = 0;
+    for section in ["node", "listen", "platform", "peers", "security", "log"] {
+        for key in names_after(&settings, &format!("(\"{section}\", \"")) {
+            keys += 1;
+            assert!(page.contains(&format!("| `{section}` | `{key}` |")), "[{section}] {key} is missing");
+        }
+    }
+    assert_eq!(keys, 14, "the source of the settings could not be read in full");
+    let effect = read(repository().join("crates/state/src/node/effect.rs"));
+    let reasons = effect.split_once("pub enum Reason {").and_then(|(_, rest)| rest.split_once('}'));
+    for name in reasons.expect("the reasons are in the source").0.lines() {
+        let Some(name) = name.trim().strip_suffix(',').filter(|name| !name.starts_with("//")) else {
+            continue;
+        };
+        let mut word = String::new();
+        for c in name.chars() {
+            if c.is_ascii_uppercase() && !word.is_empty() {
+                word.push('-');
+            }
+            word.push(c.to_ascii_lowercase());
+        }
+        assert!(page.contains(&format!("`{word}`")), "the reason {word} is missing");
+    }
+}
