--- a/crates/daemons/src/ctl/change.rs
+++ b/crates/daemons/src/ctl/change.rs
@@ -99,21 +99,16 @@
     write: &Write<'_>,
     answer: Option<Answer>,
 ) -> Result<Option<u64>, CtlError> {
-    let answered = answer.as_ref().map(|answer| answer.status);
-    match (answered, answer) {
-        (Some(StatusCode::OK), Some(answer)) => {
-            return answer.json::<KvWritten>().map(|written| Some(written.revision));
-        }
-        // The answer to an earlier try of this change may have been lost, so the value decides.
-        (Some(StatusCode::PRECONDITION_FAILED | StatusCode::SERVICE_UNAVAILABLE) | None, _) => {}
-        (Some(StatusCode::BAD_REQUEST), Some(answer)) => {
-            return Err(CtlError::invalid(format!("not accepted: {}", answer.text())));
-        }
-        (_, Some(answer)) if answered == Some(StatusCode::CONFLICT) => {
-            return Err(CtlError::failed(format!("refused: {}", answer.text())));
+    if let Some(answer) = answer {
+        match answer.status {
+            // The answer to an earlier try of this change may have been lost, so the value decides.
+            StatusCode::PRECONDITION_FAILED | StatusCode::SERVICE_UNAVAILABLE => {}
+            StatusCode::BAD_REQUEST => {
+                return Err(CtlError::invalid(format!("not accepted: {}", answer.text())));
+            }
+            StatusCode::CONFLICT => return Err(CtlError::failed(format!("refused: {}", answer.text()))),
+            _ => return answer.json::<KvWritten>().map(|written| Some(written.revision)),
         }
-        (_, Some(answer)) => answer.json::<KvWritten>().map(drop)?,
-        (_, None) => {}
     }
     let Ok(found) = api.get(key).await else {
         return Ok(None);
