Say unknown for resent keys that cannot be claimed, and never pass a part of a recorded answer on

Cause: a key that had run through one daemon and was sent again through another during an outage of the key-value service was told not-run; an answer too large to record came back as an empty body with the first status. The operators' tests found floors that overflow a byte, client blocks that were not checked on write, and previous members of the fleet that got no messages. Change: callers mark resends (medlar-resend) and get unknown; answers that were not kept are told as ran without a body; the three faults are fixed at the border and in the engine. Conclusion: not-run is said only where it is known.

--- a/crates/coordination/src/call.rs
+++ b/crates/coordination/src/call.rs
@@ -47,6 +47,8 @@
     pub fingerprint: Fingerprint,
     /// What goes to the backend server.
     pub request: BackendRequest,
+    /// Whether the caller says that it has sent the request before.
+    pub resent: bool,
     /// Whether another daemon sent it here as the owner or arbiter.
     pub forwarded: bool,
     /// Crash evidence that came with a forwarded request.
@@ -141,6 +143,7 @@
             idempotency: self.call.idempotency.clone(),
             fingerprint: self.call.fingerprint,
             body_bytes: u32::try_from(self.call.request.body.len()).unwrap_or(u32::MAX),
+            resent: self.call.resent,
             forwarded: self.call.forwarded,
             evidence: self.call.evidence.clone(),
         }
@@ -219,6 +222,7 @@
             rank: call.rank,
             deadline_ms: u32::try_from(budget.as_millis()).unwrap_or(u32::MAX),
             idempotency: call.idempotency.clone(),
+            resent: call.resent,
             fingerprint: call.fingerprint,
             evidence,
             method: call.request.method.as_str().into(),
@@ -319,6 +323,7 @@
         idempotency: call.idempotency,
         fingerprint: call.fingerprint,
         request,
+        resent: call.resent,
         forwarded: true,
         evidence: call.evidence,
     })
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -347,8 +347,7 @@
     }
 
     fn peer(&self, node: NodeId) -> Option<PeerAddress> {
-        let member = self.node.fleet_members().iter().find(|m| m.node == node)?;
-        Some(PeerAddress { node, address: member.peer_address })
+        Some(PeerAddress { node, address: self.node.peer_address(node)? })
     }
 
     fn forward(&mut self, request: RequestId, to: NodeId, budget: Duration, evidence: Option<Evidence>) {
--- a/crates/coordination/src/http.rs
+++ b/crates/coordination/src/http.rs
@@ -126,6 +126,7 @@
     let deadline = parse_header::<u32>(head, headers::DEADLINE_MS)?;
     let deadline = deadline.map_or(MAX_RUN, |ms| Duration::from_millis(ms.into()));
     let idempotency = parse_idempotency(req, head)?;
+    let resent = parse_yes(head, headers::RESEND)?.unwrap_or(false);
     let fingerprint = fingerprint(&customer, &service, req.method().as_str(), &path, &body);
     let request = BackendRequest { method: req.method().clone(), path, headers: passed_on(head), body };
     Ok(Call {
@@ -136,6 +137,7 @@
         idempotency,
         fingerprint,
         request,
+        resent,
         forwarded: false,
         evidence: None,
     })
@@ -169,13 +171,17 @@
     text.parse().map(Some).map_err(|e: T::Err| format!("{name}: {}", e.to_string()).into())
 }
 
+fn parse_yes(head: &HeaderMap, name: &str) -> Result<Option<bool>, Box<str>> {
+    match header_text(head, name)? {
+        Some("yes") => Ok(Some(true)),
+        Some("no") => Ok(Some(false)),
+        Some(_) => Err(format!("{name}: use yes or no").into()),
+        None => Ok(None),
+    }
+}
+
 fn parse_idempotency(req: &HttpRequest, head: &HeaderMap) -> Result<Idempotency, Box<str>> {
-    let repeatable = match header_text(head, headers::REPEATABLE)? {
-        Some("yes") => true,
-        Some("no") => false,
-        Some(_) => return Err(format!("{}: use yes or no", headers::REPEATABLE).into()),
-        None => req.method().is_idempotent(),
-    };
+    let repeatable = parse_yes(head, headers::REPEATABLE)?.unwrap_or(req.method().is_idempotent());
     if repeatable {
         return Ok(Idempotency::Repeatable);
     }
@@ -222,6 +228,8 @@
         Answer::Streaming(head, stream) => {
             with_headers(respond(leaving, head.status), &head.headers).streaming(stream)
         }
+        // A part of an answer must not pass for the whole.
+        Answer::Recorded(answer) if answer.omitted => answer_not_kept(leaving),
         Answer::Recorded(answer) => {
             let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
             let mut res = respond(leaving, status);
@@ -235,6 +243,19 @@
     }
 }
 
+fn answer_not_kept(leaving: bool) -> HttpResponse {
+    let reason = "answer-not-kept";
+    respond(leaving, StatusCode::GONE)
+        .insert_header((headers::OUTCOME, "ran"))
+        .insert_header((headers::REASON, reason))
+        .json(RefusalBody {
+            outcome: BorderOutcome::Ran,
+            reason: reason.to_owned(),
+            message: "the operation has run; its answer was too large to keep".to_owned(),
+            retry_after_ms: None,
+        })
+}
+
 fn with_headers(mut res: HttpResponseBuilder, head: &HeaderMap) -> HttpResponseBuilder {
     for (name, value) in head {
         res.append_header((name.clone(), value.clone()));
--- a/crates/daemons/tests/failures.rs
+++ b/crates/daemons/tests/failures.rs
@@ -155,13 +155,16 @@
         let reply = cluster.send(&repeatable(&cluster, entry, "/stock")).await;
         assert!(ran(&reply), "entry {entry}: {reply:?}");
     }
-    let headers = vec![("medlar-repeatable", "no".into()), ("medlar-key", "own-1".into())];
-    let reply =
-        cluster.send(&with_headers(&cluster, 2, "/orders", headers)).await.expect("the daemon answers");
-    assert_eq!(
-        (reply.outcome.as_deref(), reply.reason.as_deref()),
-        (Some("not-run"), Some("claim-unavailable"))
-    );
+    for (resend, outcome) in [("no", "not-run"), ("yes", "unknown")] {
+        let headers = vec![
+            ("medlar-repeatable", "no".into()),
+            ("medlar-key", "own-1".into()),
+            ("medlar-resend", resend.into()),
+        ];
+        let reply = cluster.send(&with_headers(&cluster, 2, "/orders", headers)).await.expect("an answer");
+        let told = (reply.outcome.as_deref(), reply.reason.as_deref());
+        assert_eq!(told, (Some(outcome), Some("claim-unavailable")));
+    }
 }
 
 /// Guards against a second run when two daemons claim the same key, also when the answer of the claim is lost.
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use medlarstair_state::blocks::Blocks;
 use medlarstair_state::id::{Backend, Domain, NodeId, Region};
 use medlarstair_state::model::{
     BackendSpec, ConfigValue, Contract, DrainScope, Fleet, FleetMember, KbitPerSecond, LinkSpec, MAX_RUN,
@@ -59,7 +60,7 @@
         "topology" => ConfigValue::Topology(topology(&json(value)?)?),
         "fleet" => ConfigValue::Fleet(fleet(&json(value)?)?),
         "drain" => ConfigValue::Drain(drain(&json(value)?)?),
-        "blocks" => ConfigValue::Blocks(value.into()),
+        "blocks" => ConfigValue::Blocks(blocks(value)?),
         _ => return Ok(None),
     };
     Ok(Some(value))
@@ -129,6 +130,16 @@
     })
 }
 
+/// Checks a part of the client blocks.
+///
+/// # Errors
+///
+/// [`ConvertError`] names the first line that is not valid.
+pub fn blocks(value: &str) -> Result<Box<str>, ConvertError> {
+    Blocks::default().load_part("", value).map_err(|e| ConvertError::new("value", e))?;
+    Ok(value.into())
+}
+
 /// Converts a service.
 ///
 /// # Errors
@@ -137,7 +148,7 @@
 pub fn service(value: &ServiceValue) -> Result<ServiceSpec, ConvertError> {
     let backends = list("backends", &value.backends, backend)?;
     unique("backends", backends.iter().map(|b| &b.name))?;
-    if value.standard_floor + value.bulk_floor > 100 {
+    if u32::from(value.standard_floor) + u32::from(value.bulk_floor) > 100 {
         return Err(ConvertError::new("bulk_floor", "the floors exceed 100 % together"));
     }
     if value.typical_run_ms == 0 {
--- a/crates/protocol/src/headers.rs
+++ b/crates/protocol/src/headers.rs
@@ -10,6 +10,8 @@
 pub const TOKEN: &str = "medlar-token";
 /// The caller's own idempotency key.
 pub const KEY: &str = "medlar-key";
+/// Whether the caller has sent the request before: `yes` or `no`.
+pub const RESEND: &str = "medlar-resend";
 /// What is known about a request: `not-run`, `ran` or `unknown`.
 pub const OUTCOME: &str = "medlar-outcome";
 /// Why a request was refused, as a fixed word.
--- a/crates/protocol/src/stream.rs
+++ b/crates/protocol/src/stream.rs
@@ -29,6 +29,8 @@
     pub deadline_ms: u32,
     /// Whether and how it may be sent again.
     pub idempotency: Idempotency,
+    /// Whether the caller says that it has sent the request before.
+    pub resent: bool,
     /// Hash of its content.
     pub fingerprint: Fingerprint,
     /// Crash evidence against the request.
--- a/crates/state/src/node/peers.rs
+++ b/crates/state/src/node/peers.rs
@@ -88,7 +88,7 @@
     }
 
     fn note_liveness(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
-        for member in &self.fleet.members {
+        for member in self.fleet.members.iter().filter(|m| m.node != self.cfg.me.node) {
             let liveness = self.membership.liveness(now, member.node);
             if self.liveness.insert(member.node, liveness) == Some(liveness) {
                 continue;
--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -140,7 +140,7 @@
                 }
                 if !self.claims.take(now, 1) {
                     let wait = self.claims.wait(now, 1);
-                    return self.refuse(now, id, not_run(Reason::ClaimBudget, Some(wait)), out);
+                    return self.refuse_unclaimed(now, id, Reason::ClaimBudget, wait, out);
                 }
                 let customer = pending.req.customer.clone();
                 let issuer = self.operations.issuer(self.minute(now));
@@ -162,7 +162,7 @@
         let issuer = match end {
             ClaimEnd::Owned(issuer) => *issuer,
             ClaimEnd::Unavailable => {
-                return self.refuse(now, id, not_run(Reason::ClaimUnavailable, Some(RETRY_SOON)), out);
+                return self.refuse_unclaimed(now, id, Reason::ClaimUnavailable, RETRY_SOON, out);
             }
         };
         let Idempotency::Key(key) = pending.req.idempotency.clone() else {
@@ -177,6 +177,20 @@
         self.on_begin(now, id, begin, out);
     }
 
+    /// Refuses a request whose owner is not known. An earlier sending of it may have run elsewhere.
+    fn refuse_unclaimed(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        reason: Reason,
+        wait: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let resent = self.requests.get(&id).is_some_and(|p| p.req.resent);
+        let outcome = if resent { Outcome::Unknown } else { Outcome::NotRun };
+        self.refuse(now, id, Refusal { outcome, reason, retry_after: Some(wait) }, out);
+    }
+
     fn on_begin(&mut self, now: Timestamp, id: RequestId, begin: Begin, out: &mut Vec<Effect>) {
         match begin {
             Begin::Run => {
--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -187,9 +187,9 @@
         LimitView { key: key.clone(), share: self.ledger.share(key), usable, in_use }
     }
 
-    /// The daemons of the fleet and their addresses.
-    pub fn fleet_members(&self) -> &[FleetMember] {
-        &self.fleet.members
+    /// Address for messages to another daemon. Previous members of the fleet still get messages.
+    pub fn peer_address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.fleet_member(node).map(|m| m.peer_address)
     }
 
     /// Backend servers whose health this daemon polls: those in whose home set it is.
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -746,6 +746,7 @@
             idempotency: op.idempotency,
             fingerprint: Fingerprint(op.fingerprint),
             body_bytes: 500,
+            resent: false,
             forwarded,
             evidence,
         };
