--- a/crates/daemons/tests/settings.rs
+++ b/crates/daemons/tests/settings.rs
@@ -230,3 +230,22 @@
         assert!(page.contains(&format!("`{word}`")), "the reason {word} is missing");
     }
 }
+
+/// Guards against commands that operators cannot look up.
+#[test]
+fn operations_page_lists_all_commands() {
+    let page = read(repository().join("docs/operations.md"));
+    let help = std::process::Command::new(env!("CARGO_BIN_EXE_medlarctl")).arg("--help").output();
+    let help = String::from_utf8(help.expect("medlarctl can be started").stdout).expect("the help is text");
+    let commands = help.split_once("Commands:\n").and_then(|(_, rest)| rest.split_once("\n\n"));
+    for line in commands.expect("the help lists the commands").0.lines() {
+        let Some(command) =
+            line.strip_prefix("  ").and_then(|l| l.split(' ').next()).filter(|c| !c.is_empty())
+        else {
+            continue;
+        };
+        let listed =
+            |row: &str| row.contains(&format!("`{command} ")) || row.contains(&format!("`{command}`"));
+        assert!(page.lines().filter(|l| l.starts_with("| `")).any(listed), "{command} is missing");
+    }
+}
