Test fleet changes and a failure domain that is cut off

Cause: the fleet change that follows from the VM list had no test, and no process test cut a domain off. Change: three tests of proposals in virtual time; one process test that cuts a domain, changes a contract meanwhile, floods all daemons and heals the cut.

--- a/crates/daemons/tests/failures.rs
+++ b/crates/daemons/tests/failures.rs
@@ -8,7 +8,7 @@
 use awc::http::StatusCode;
 use common::{Cluster, Reply, Request, pause, wait_for, wait_within};
 use futures_util::future::join_all;
-use medlarstair_standins::{BackendFaults, KvFaults};
+use medlarstair_standins::{BackendFaults, KvFaults, LinkChange};
 use rustix::process::Signal;
 
 /// A change must be in force everywhere within this time.
@@ -284,3 +284,38 @@
     };
     wait_for("the timeline shows the death", dead).await;
 }
+
+/// Guards against a failure domain that stops serving when it is cut off, against overload while nobody can agree, and
+/// against a change that it never learns after the cut.
+#[actix_rt::test]
+async fn cut_off_domain_goes_on_serving_and_catches_up() {
+    let cluster = Cluster::start("consortium", |_| {}).await;
+    let domain = format!("{}/{}", cluster.entry(1).place.region, cluster.entry(1).place.name);
+    cluster.platform.relay.change(&LinkChange::cut(&domain, "*", true));
+    let customer = cluster.plan.customers[1].clone();
+    let key = format!("contract/{customer}");
+    let stored = cluster.platform.kv.list(&format!("config/{key}")).entries.remove(0);
+    let without = format!(r#"{{"customer":"{customer}","change_id":"c3","services":[]}}"#);
+    let (status, body) = cluster.put_config(4, &key, &without, stored.revision).await;
+    assert_eq!(status, StatusCode::OK, "{body}");
+    let started = Instant::now();
+    let mut served = 0;
+    while started.elapsed() < Duration::from_secs(5) {
+        let each = (1..=7).flat_map(|entry| [entry; 6]);
+        let requests = each.map(|entry| repeatable(&cluster, entry, "/stock")).collect::<Vec<_>>();
+        let replies = send_all(&cluster, &requests).await;
+        served += replies[..6].iter().filter(|reply| ran(reply)).count();
+    }
+    assert!(served > 0, "the cut-off domain served nothing");
+    for (name, backend) in &cluster.platform.backends {
+        assert_eq!(backend.stats().shed, 0, "{name} got more than its slots");
+    }
+    cluster.platform.relay.change(&LinkChange::cut(&domain, "*", false));
+    let changed = async || {
+        let mut req = repeatable(&cluster, 1, "/stock");
+        req.customer = &customer;
+        let reply = cluster.send(&req).await?;
+        (reply.reason.as_deref() == Some("no-contract")).then_some(())
+    };
+    wait_for("the change is in force after the cut", changed).await;
+}
--- /dev/null
+++ b/crates/state/tests/node_fleet.rs
@@ -0,0 +1,115 @@
+//! Fleet changes that follow from the platform's VM list.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use medlarstair_state::config::Entry;
+use medlarstair_state::id::{Boot, Incarnation, NodeId, Revision};
+use medlarstair_state::ledger::{LOAN_LIFETIME, with_drift_margin};
+use medlarstair_state::model::{ConfigValue, Fleet, FleetMember};
+use medlarstair_state::node::{ConfigSource, Effect, Event, Node, NodeConfig, ParsedEntry, VmView};
+use medlarstair_state::operation::Minute;
+use medlarstair_state::time::Timestamp;
+
+/// Time for which a VM must be missing from the list, from the design page.
+const GONE_AFTER: Duration = Duration::from_secs(30);
+
+fn member(node: u32) -> FleetMember {
+    FleetMember {
+        node: NodeId(node),
+        region: "muscat".parse().unwrap(),
+        domain: format!("muscat-{node}").parse().unwrap(),
+        peer_address: format!("127.0.0.{node}:7946").parse().unwrap(),
+        http_address: format!("127.0.0.{node}:8080").parse().unwrap(),
+    }
+}
+
+fn fleet(members: &[u32], previous: &[u32]) -> Fleet {
+    let list = |nodes: &[u32]| nodes.iter().map(|n| member(*n)).collect();
+    Fleet { members: list(members), previous: list(previous) }
+}
+
+/// Daemon 1 of three, of which it hears nothing.
+struct Lone {
+    node: Node,
+    now: Timestamp,
+}
+
+impl Lone {
+    fn new(first: Fleet) -> Self {
+        let cfg = NodeConfig {
+            me: Incarnation { node: NodeId(1), boot: Boot(1) },
+            region: "muscat".parse().unwrap(),
+            domain: "muscat-1".parse().unwrap(),
+            epoch: Minute(0),
+            seed: 1,
+        };
+        let mut this = Self { node: Node::new(cfg, Timestamp::ZERO), now: Timestamp::ZERO };
+        let entry = Entry { key: "config/fleet".into(), revision: Revision(5), value: Some("".into()) };
+        let entries = vec![ParsedEntry { entry, value: Some(ConfigValue::Fleet(first)) }];
+        this.feed(Event::Config { entries, source: ConfigSource::Store });
+        this
+    }
+
+    fn feed(&mut self, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.node.handle(self.now, event, &mut out);
+        out
+    }
+
+    /// Lets time pass and returns the first proposal with the time that passed until then.
+    fn run(&mut self, span: Duration, listed: Option<&[u32]>) -> Option<(Duration, Fleet)> {
+        let (start, mut next_list) = (self.now, self.now);
+        while self.now.since(start) < span {
+            if let Some(listed) = listed.filter(|_| self.now >= next_list) {
+                let nodes = listed.iter().map(|n| NodeId(*n)).collect();
+                self.feed(Event::Vms(VmView { nodes, leaving: BTreeSet::new() }));
+                next_list = self.now + Duration::from_secs(1);
+            }
+            for effect in self.feed(Event::Tick) {
+                if let Effect::ProposeFleet { fleet, expect } = effect {
+                    assert_eq!(expect, Revision(5));
+                    return Some((self.now.since(start), fleet));
+                }
+            }
+            self.now = self.now + Duration::from_millis(10);
+        }
+        None
+    }
+}
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Guards against a dead VM that keeps its shares, and against one that loses them too early.
+#[test]
+fn daemon_whose_vm_is_gone_leaves_the_fleet_in_a_joint_value() {
+    let mut lone = Lone::new(fleet(&[1, 2, 3], &[]));
+    assert_eq!(lone.run(MINUTE, Some(&[1, 2, 3])), None, "all VMs are listed");
+    let (after, proposed) = lone.run(MINUTE, Some(&[1, 2])).expect("a proposal");
+    assert!(after >= GONE_AFTER - Duration::from_secs(1), "proposed after {after:?}");
+    assert_eq!(proposed, fleet(&[1, 2], &[1, 2, 3]));
+}
+
+/// Guards against a daemon that takes others out of the fleet because the list is not available or not complete yet.
+#[test]
+fn nobody_leaves_the_fleet_without_a_recent_list_that_named_it_before() {
+    let mut lone = Lone::new(fleet(&[1, 2, 3], &[]));
+    assert_eq!(lone.run(MINUTE, Some(&[1, 2])), None, "daemon 3 was never listed");
+    let mut lone = Lone::new(fleet(&[1, 2, 3], &[]));
+    assert_eq!(lone.run(Duration::from_secs(5), Some(&[1, 2, 3])), None);
+    assert_eq!(lone.run(MINUTE, None), None, "the list is not available");
+}
+
+/// Guards against shares that grow while a daemon may still spend by the earlier division.
+#[test]
+fn joint_value_ends_only_after_a_loan_lifetime() {
+    let mut lone = Lone::new(fleet(&[1, 2], &[1, 2, 3]));
+    assert_eq!(lone.run(Duration::from_secs(5), Some(&[1, 2, 3])), None);
+    assert_eq!(lone.run(MINUTE, Some(&[1, 2])), None, "daemon 2 has not confirmed the joint value");
+    let mut lone = Lone::new(fleet(&[1], &[1, 2]));
+    assert_eq!(lone.run(Duration::from_secs(5), Some(&[1, 2])), None);
+    let (after, proposed) = lone.run(MINUTE, Some(&[1])).expect("a proposal");
+    assert_eq!(proposed, fleet(&[1], &[]));
+    let least = GONE_AFTER - Duration::from_secs(1) + with_drift_margin(LOAN_LIFETIME);
+    assert!(after >= least, "proposed after {after:?}, not {least:?}");
+}
