Strengthen the test of fleet changes without a recent VM list

Cause: the mutation that ignores the age of the list survived, because a fleet of one is never proposed. Change: the daemon of the test hears of one other daemon, so that a wrong proposal is possible.

--- a/crates/state/tests/node_fleet.rs
+++ b/crates/state/tests/node_fleet.rs
@@ -6,8 +6,11 @@
 use medlarstair_state::config::Entry;
 use medlarstair_state::id::{Boot, Incarnation, NodeId, Revision};
 use medlarstair_state::ledger::{LOAN_LIFETIME, with_drift_margin};
+use medlarstair_state::membership::{Gossip, MemberState};
 use medlarstair_state::model::{ConfigValue, Fleet, FleetMember};
-use medlarstair_state::node::{ConfigSource, Effect, Event, Node, NodeConfig, ParsedEntry, VmView};
+use medlarstair_state::node::{
+    ConfigSource, Effect, Event, Node, NodeConfig, ParsedEntry, PeerMessage, VmView,
+};
 use medlarstair_state::operation::Minute;
 use medlarstair_state::time::Timestamp;
 
@@ -29,10 +32,11 @@
     Fleet { members: list(members), previous: list(previous) }
 }
 
-/// Daemon 1 of three, of which it hears nothing.
+/// Daemon 1, which hears only of the daemons in `alive`.
 struct Lone {
     node: Node,
     now: Timestamp,
+    alive: Vec<u32>,
 }
 
 impl Lone {
@@ -44,7 +48,8 @@
             epoch: Minute(0),
             seed: 1,
         };
-        let mut this = Self { node: Node::new(cfg, Timestamp::ZERO), now: Timestamp::ZERO };
+        let mut this =
+            Self { node: Node::new(cfg, Timestamp::ZERO), now: Timestamp::ZERO, alive: Vec::new() };
         let entry = Entry { key: "config/fleet".into(), revision: Revision(5), value: Some("".into()) };
         let entries = vec![ParsedEntry { entry, value: Some(ConfigValue::Fleet(first)) }];
         this.feed(Event::Config { entries, source: ConfigSource::Store });
@@ -57,6 +62,17 @@
         out
     }
 
+    fn hear(&mut self) {
+        let config = self.node.view(self.now).digest;
+        for node in self.alive.clone() {
+            let from = Incarnation { node: NodeId(node), boot: Boot(1) };
+            let heartbeat = self.now.0 / 1_000;
+            let state = MemberState { id: from, heartbeat, leaving: false, config };
+            let gossip = Gossip { members: vec![state], ..Gossip::default() };
+            self.feed(Event::Message { from, message: PeerMessage::Heartbeat(gossip) });
+        }
+    }
+
     /// Lets time pass and returns the first proposal with the time that passed until then.
     fn run(&mut self, span: Duration, listed: Option<&[u32]>) -> Option<(Duration, Fleet)> {
         let (start, mut next_list) = (self.now, self.now);
@@ -66,6 +82,9 @@
                 self.feed(Event::Vms(VmView { nodes, leaving: BTreeSet::new() }));
                 next_list = self.now + Duration::from_secs(1);
             }
+            if self.now.0.is_multiple_of(200_000) {
+                self.hear();
+            }
             for effect in self.feed(Event::Tick) {
                 if let Effect::ProposeFleet { fleet, expect } = effect {
                     assert_eq!(expect, Revision(5));
@@ -96,6 +115,7 @@
     let mut lone = Lone::new(fleet(&[1, 2, 3], &[]));
     assert_eq!(lone.run(MINUTE, Some(&[1, 2])), None, "daemon 3 was never listed");
     let mut lone = Lone::new(fleet(&[1, 2, 3], &[]));
+    lone.alive = vec![2];
     assert_eq!(lone.run(Duration::from_secs(5), Some(&[1, 2, 3])), None);
     assert_eq!(lone.run(MINUTE, None), None, "the list is not available");
 }
