Start nothing until the sources could say which servers leave

Cause: a daemon that had just started, or was paused for more than a second, handled waiting requests before the next report, VM list or configuration change reached it, and its base shares do not expire. It dispatched to servers that had begun to leave more than 2 s before.

Ruled out: loans, which had expired, and the poll period; the daemon started work 260 ms after its restart or at once after its pause.

Before: dispatches to leaving servers with a pause of 3.5 s and a drain, and with a restart and a draining report. The price is one second without starts and loans after a start or a long pause, in which requests wait in the queues.

--- a/crates/state/src/node/configuration.rs
+++ b/crates/state/src/node/configuration.rs
@@ -99,6 +99,9 @@
         self.membership.set_fleet(now, &fleet);
         self.quarantine.set_fleet(&fleet);
         self.ledger.set_fleet(now, &fleet);
+        if self.fleet.members.is_empty() {
+            self.awareness.catch_up(now);
+        }
         self.fleet = fleet;
         out.push(Effect::Notice(Notice::FleetChanged { members, previous }));
     }
--- a/crates/state/src/node/lending.rs
+++ b/crates/state/src/node/lending.rs
@@ -30,6 +30,7 @@
         let borrower = req.id.borrower;
         let items = match &req.want {
             _ if !self.is_alive(now, borrower.node) || self.stop.refuses_requests() => Vec::new(),
+            LoanWant::Service(_) if self.is_stale(now) => Vec::new(),
             _ if req.renews.is_some() => self.renewed(now, req),
             LoanWant::Service(service) => self.spare_slots(now, borrower.node, service, req.units),
             LoanWant::Limit(key) => self.spare_limit(now, key, req.units),
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! command and the tests all feed it events and a timestamp, and carry out the effects that it returns. So a recorded
 //! trace gives the same decisions again.
 
+mod awareness;
 mod borrowing;
 mod configuration;
 mod effect;
@@ -48,6 +49,7 @@
 use crate::routing::{Policy, TwoChoices};
 use crate::time::Timestamp;
 
+use awareness::Awareness;
 use borrowing::Asked;
 use fleet::FleetWatch;
 use limits::Limits;
@@ -114,6 +116,7 @@
     watching: bool,
     fleet_watch: FleetWatch,
     stop: StopPhase,
+    awareness: Awareness,
     /// Whose operations went to the successor.
     handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
@@ -151,6 +154,7 @@
             watching: false,
             fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
+            awareness: Awareness::new(now),
             handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
@@ -168,6 +172,7 @@
 impl<P: Policy + Default> Node<P> {
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Effect>) {
+        self.awareness.on_event(now);
         match event {
             Event::Request(req) => self.on_request(now, req, out),
             Event::AttemptEnded { request, end, head_received, response_bytes, answer } => {
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -45,6 +45,9 @@
 
     /// Starts as many waiting requests of the service as there are free slots, and asks for loans for the rest.
     pub(super) fn start_service(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
+        if self.is_stale(now) {
+            return;
+        }
         self.start_alone(now, service, out);
         while let Some(ticket) = self.services.get_mut(service).and_then(|svc| svc.admission.next(now)) {
             let started = self.start(now, ticket.request, out);
--- /dev/null
+++ b/crates/state/tests/node_leaving.rs
@@ -0,0 +1,93 @@
+//! P6: a leaving backend server gets no new work 2 s after the first source said so.
+
+mod support;
+
+use medlarstair_state::id::Rank;
+use medlarstair_state::model::{ConfigValue, DrainScope};
+use medlarstair_state::node::Idempotency;
+use proptest::prelude::*;
+use proptest::sample::select;
+use rand::RngExt;
+use support::faults::{Fault, Schedule, config, schedules};
+use support::*;
+
+/// Which source says that a server leaves. The others say that it does not.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    Drain,
+    Report,
+    VmList,
+}
+
+/// Load on all daemons, while one server after the other leaves.
+fn leaving(schedule: &Schedule, source: Source) -> World {
+    let mut world = schedule.world();
+    let start = world.now;
+    let nodes = world.daemons.len();
+    for i in 0..800_u64 {
+        let at = start + i * 10 * MS;
+        world.run_until(at);
+        let run = world.rng.random_range(20..120) * MS;
+        let op = world.op(Rank::ALL[i as usize % 3], Idempotency::Repeatable, run);
+        let node = world.rng.random_range(0..nodes);
+        world.send_at(at, node, op);
+        if i % 100 == 50 && i < 300 {
+            leave(&mut world, i as usize / 100, source);
+        }
+    }
+    world.run_until(start + 12 * SEC);
+    world.check_answers();
+    world
+}
+
+fn leave(world: &mut World, server: usize, source: Source) {
+    let name = world.servers[server].spec.name.clone();
+    world.servers[server].leaving_since = Some(world.now);
+    match source {
+        Source::Drain => {
+            let drain = ConfigValue::Drain(DrainScope::Backend(name.clone()));
+            assert!(world.write(&format!("config/drain/backend/{name}"), Some(drain)));
+        }
+        Source::Report => world.servers[server].draining = true,
+        Source::VmList => {
+            world.vm_leaving.insert(name);
+            world.servers[server].lie = Some(0);
+        }
+    }
+}
+
+/// Faults under which the source can still be heard.
+fn fault(nodes: usize) -> BoxedStrategy<Fault> {
+    prop_oneof![
+        (0..nodes).prop_map(Fault::Kill),
+        (0..nodes).prop_map(Fault::Pause),
+        select(vec![5, 20]).prop_map(Fault::Loss),
+        (0..6_usize, 0..4_u32).prop_map(|(server, used)| Fault::Lies(server, used)),
+        (0..6_usize).prop_map(Fault::ServerDown),
+    ]
+    .boxed()
+}
+
+fn sources() -> BoxedStrategy<Source> {
+    select(vec![Source::Drain, Source::Report, Source::VmList]).boxed()
+}
+
+proptest! {
+    #![proptest_config(config(12))]
+
+    #[test]
+    fn leaving_servers_get_no_work_with_one_fault(
+        schedule in schedules(3..8, fault, false),
+        source in sources(),
+    ) {
+        leaving(&schedule, source).assert_holds(&["P6", "P4"]);
+    }
+
+    #[test]
+    fn leaving_servers_get_no_work_with_two_faults(
+        schedule in schedules(3..8, fault, true),
+        source in sources(),
+    ) {
+        leaving(&schedule, source).assert_holds(&["P6", "P4"]);
+    }
+}
