Send crash evidence again with the next heartbeats, to suspected daemons too

Cause: evidence travelled in one datagram to the daemons that were alive by heartbeat. A daemon that lost it, or was paused and therefore suspected, ran the crashing request as if nothing had happened.

Ruled out: the count of evidence and the arbiter; each further crash was started by a daemon that held no evidence.

--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -40,7 +40,7 @@
 use crate::blocks::Blocks;
 use crate::bucket::TokenBucket;
 use crate::config::ConfigMap;
-use crate::id::{Backend, Customer, Domain, Incarnation, NodeId, Region, RequestId, Service};
+use crate::id::{Backend, Customer, Domain, Fingerprint, Incarnation, NodeId, Region, RequestId, Service};
 use crate::ledger::{Ledger, LoanId};
 use crate::membership::{Liveness, Membership, MembershipConfig};
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
@@ -117,6 +117,8 @@
     fleet_watch: FleetWatch,
     stop: StopPhase,
     awareness: Awareness,
+    /// How often evidence is still to be sent again.
+    evidence_repeats: BTreeMap<Fingerprint, u8>,
     /// Whose operations went to the successor.
     handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
@@ -155,6 +157,7 @@
             fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
             awareness: Awareness::new(now),
+            evidence_repeats: BTreeMap::new(),
             handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
--- a/crates/state/src/node/peers.rs
+++ b/crates/state/src/node/peers.rs
@@ -13,6 +13,9 @@
 /// Period of the heartbeats.
 pub(super) const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
 
+/// Heartbeats with which crash evidence is sent again: one second, in which a caller can resend a few times.
+const EVIDENCE_REPEATS: u8 = 5;
+
 /// Least time between two fetches from the same daemon.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
@@ -82,6 +85,7 @@
         for (to, gossip) in self.membership.tick(now, &mut self.rng, self.entries.digest()) {
             out.push(Effect::Send { to, message: PeerMessage::Heartbeat(gossip) });
         }
+        self.repeat_evidence(now, out);
         self.note_liveness(now, out);
         self.choose_watchers(now, out);
         self.seek_limits(now, out);
@@ -107,13 +111,29 @@
         out.push(Effect::Notice(Notice::WatcherChanged { watching }));
     }
 
-    pub(super) fn send_evidence(&self, now: Timestamp, evidence: &Evidence, out: &mut Vec<Effect>) {
-        for member in &self.fleet.members {
-            if member.node == self.cfg.me.node || !self.is_alive(now, member.node) {
-                continue;
-            }
+    /// Sends crash evidence to every daemon, now and with the next heartbeats, since datagrams get lost.
+    pub(super) fn send_evidence(&mut self, evidence: &Evidence, out: &mut Vec<Effect>) {
+        self.evidence_repeats.insert(evidence.fingerprint, EVIDENCE_REPEATS);
+        self.spread_evidence(evidence, out);
+    }
+
+    /// Suspected daemons get it as well: one that is paused handles it when it resumes.
+    fn spread_evidence(&self, evidence: &Evidence, out: &mut Vec<Effect>) {
+        for member in self.fleet.members.iter().filter(|m| m.node != self.cfg.me.node) {
             let message = PeerMessage::Evidence(evidence.clone());
             out.push(Effect::Send { to: member.node, message });
         }
     }
+
+    fn repeat_evidence(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
+        for (fingerprint, left) in std::mem::take(&mut self.evidence_repeats) {
+            let Some(evidence) = self.quarantine.evidence(now, fingerprint) else {
+                continue;
+            };
+            self.spread_evidence(&evidence, out);
+            if left > 1 {
+                self.evidence_repeats.insert(fingerprint, left - 1);
+            }
+        }
+    }
 }
