--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -104,6 +104,10 @@
     pub exited_at: Option<Micros>,
     pub revisions: BTreeMap<Box<str>, Revision>,
     pub live_keys: BTreeSet<Box<str>>,
+    /// Revision of the last listing of the key-value service.
+    listed: Option<Revision>,
+    /// How the decision logic was made, and its events if they are kept.
+    pub started: Option<(NodeConfig, Timestamp)>,
     pub trace: Vec<(Timestamp, Event)>,
 }
 
@@ -243,12 +247,18 @@
 impl World {
     /// A fleet that has its configuration, after 15 s for the start of the ledgers.
     pub fn new(seed: u64, nodes: usize) -> Self {
+        let mut world = Self::starting(seed, nodes);
+        world.run_until(15 * SEC);
+        world
+    }
+
+    /// A fleet that starts now.
+    pub fn starting(seed: u64, nodes: usize) -> Self {
         let mut world = Self::empty(seed, nodes);
         for node in 0..nodes {
             world.start(node);
         }
         world.after(0, Happening::Sample);
-        world.run_until(15 * SEC);
         world
     }
 
@@ -274,6 +284,8 @@
                 exited_at: None,
                 revisions: BTreeMap::new(),
                 live_keys: BTreeSet::new(),
+                listed: None,
+                started: None,
                 trace: Vec::new(),
             });
         }
@@ -415,11 +427,13 @@
             epoch: Minute(29_000_000 - u32::try_from(daemon.offset / (60 * SEC)).unwrap()),
             seed,
         };
+        daemon.started = Some((cfg.clone(), now));
         daemon.node = Some(Node::new(cfg, now));
         daemon.watching = false;
         daemon.stop_at = None;
         daemon.exited_at = None;
         daemon.revisions.clear();
+        daemon.listed = None;
         daemon.trace.clear();
         for happening in [
             Happening::Bootstrap(node, boot),
@@ -792,6 +806,10 @@
         let stale = self.stale_entries.clone().filter(|_| self.store_stale && self.rng.random());
         let (revision, listed) = stale.unwrap_or_else(|| (self.revision, self.entries.clone()));
         let mut entries = listed.values().filter(|e| e.value.is_some()).cloned().collect::<Vec<_>>();
+        // A watch returns only what has changed.
+        if self.daemons[node].listed.replace(revision) == Some(revision) {
+            return;
+        }
         let logic = self.daemons[node].node.as_ref().unwrap();
         for key in logic.config_keys_before(revision) {
             if listed.get(&key).is_none_or(|e| e.value.is_none()) {
