--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! command and the tests all feed it events and a timestamp, and carry out the effects that it returns. So a recorded
 //! trace gives the same decisions again.
 
+mod awareness;
 mod borrowing;
 mod configuration;
 mod effect;
@@ -40,7 +41,7 @@
 use crate::blocks::Blocks;
 use crate::bucket::TokenBucket;
 use crate::config::ConfigMap;
-use crate::id::{Backend, Customer, Domain, Incarnation, NodeId, Region, RequestId, Service};
+use crate::id::{Backend, Customer, Domain, Fingerprint, Incarnation, NodeId, Region, RequestId, Service};
 use crate::ledger::{Ledger, LoanId};
 use crate::membership::{Liveness, Membership, MembershipConfig};
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
@@ -49,6 +50,7 @@
 use crate::routing::{Policy, TwoChoices};
 use crate::time::Timestamp;
 
+use awareness::Awareness;
 use borrowing::Asked;
 use fleet::FleetWatch;
 use limits::Limits;
@@ -115,6 +117,9 @@
     watching: bool,
     fleet_watch: FleetWatch,
     stop: StopPhase,
+    awareness: Awareness,
+    /// How often evidence is still to be sent again.
+    evidence_repeats: BTreeMap<Fingerprint, u8>,
     /// Whose operations went to the successor.
     handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
@@ -152,6 +157,8 @@
             watching: false,
             fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
+            awareness: Awareness::new(now),
+            evidence_repeats: BTreeMap::new(),
             handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
@@ -169,6 +176,7 @@
 impl<P: Policy + Default> Node<P> {
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Effect>) {
+        self.awareness.on_event(now);
         match event {
             Event::Request(req) => self.on_request(now, req, out),
             Event::AttemptEnded { request, end, head_received, response_bytes, answer } => {
--- a/crates/state/src/node/starting.rs
+++ b/crates/state/src/node/starting.rs
@@ -45,6 +45,9 @@
 
     /// Starts as many waiting requests of the service as there are free slots, and asks for loans for the rest.
     pub(super) fn start_service(&mut self, now: Timestamp, service: &Service, out: &mut Vec<Effect>) {
+        if self.is_stale(now) {
+            return;
+        }
         self.start_alone(now, service, out);
         let slots = self.usable_slots(now, service);
         if let Some(svc) = self.services.get_mut(service) {
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use medlarstair_state::config::{Entry, KeyRevision};
 use medlarstair_state::id::*;
-use medlarstair_state::ledger::{LimitKey, LoanGrant};
+use medlarstair_state::ledger::{LimitKey, LoanGrant, LoanId};
 use medlarstair_state::model::*;
 use medlarstair_state::node::*;
 use medlarstair_state::operation::{CallerKey, HandoverTable, Issuer, Minute, RecordedAnswer, Token};
@@ -104,6 +104,10 @@
     pub exited_at: Option<Micros>,
     pub revisions: BTreeMap<Box<str>, Revision>,
     pub live_keys: BTreeSet<Box<str>>,
+    /// Revision of the last listing of the key-value service.
+    listed: Option<Revision>,
+    /// How the decision logic was made, and its events if they are kept.
+    pub started: Option<(NodeConfig, Timestamp)>,
     pub trace: Vec<(Timestamp, Event)>,
 }
 
@@ -186,7 +190,8 @@
     pub ops: Vec<Op>,
     pub sends: Vec<Sent>,
     pub runs: Vec<Run>,
-    pub crashes: BTreeMap<u64, u32>,
+    /// Times at which a fingerprint crashed a server.
+    pub crashes: BTreeMap<u64, Vec<Micros>>,
     pub entries: BTreeMap<Box<str>, Entry>,
     /// An earlier state of the entries, which stale reads return.
     stale_entries: Option<(Revision, BTreeMap<Box<str>, Entry>)>,
@@ -242,12 +247,18 @@
 impl World {
     /// A fleet that has its configuration, after 15 s for the start of the ledgers.
     pub fn new(seed: u64, nodes: usize) -> Self {
+        let mut world = Self::starting(seed, nodes);
+        world.run_until(15 * SEC);
+        world
+    }
+
+    /// A fleet that starts now.
+    pub fn starting(seed: u64, nodes: usize) -> Self {
         let mut world = Self::empty(seed, nodes);
         for node in 0..nodes {
             world.start(node);
         }
         world.after(0, Happening::Sample);
-        world.run_until(15 * SEC);
         world
     }
 
@@ -273,6 +284,8 @@
                 exited_at: None,
                 revisions: BTreeMap::new(),
                 live_keys: BTreeSet::new(),
+                listed: None,
+                started: None,
                 trace: Vec::new(),
             });
         }
@@ -414,11 +427,13 @@
             epoch: Minute(29_000_000 - u32::try_from(daemon.offset / (60 * SEC)).unwrap()),
             seed,
         };
+        daemon.started = Some((cfg.clone(), now));
         daemon.node = Some(Node::new(cfg, now));
         daemon.watching = false;
         daemon.stop_at = None;
         daemon.exited_at = None;
         daemon.revisions.clear();
+        daemon.listed = None;
         daemon.trace.clear();
         for happening in [
             Happening::Bootstrap(node, boot),
@@ -568,8 +583,12 @@
 
     /// Sends a datagram: it may be lost, delayed, overtaken or delivered twice.
     fn transmit(&mut self, node: usize, boot: u64, to: usize, message: PeerMessage) {
-        if let PeerMessage::LoanGrant(grant) = &message {
-            self.check_grant(node, to, grant);
+        match &message {
+            PeerMessage::LoanRequest(req) => {
+                self.checks.renewals.extend(req.renews.map(|renewed| (req.id, renewed)));
+            }
+            PeerMessage::LoanGrant(grant) => self.check_grant(node, to, grant),
+            _ => {}
         }
         let from = Incarnation { node: self.daemons[node].member.node, boot: Boot(boot) };
         let copies = if self.rng.random_range(0..100) < self.loss_percent { 2 } else { 1 };
@@ -788,6 +807,10 @@
         let stale = self.stale_entries.clone().filter(|_| self.store_stale && self.rng.random());
         let (revision, listed) = stale.unwrap_or_else(|| (self.revision, self.entries.clone()));
         let mut entries = listed.values().filter(|e| e.value.is_some()).cloned().collect::<Vec<_>>();
+        // A watch returns only what has changed.
+        if self.daemons[node].listed.replace(revision) == Some(revision) {
+            return;
+        }
         let logic = self.daemons[node].node.as_ref().unwrap();
         for key in logic.config_keys_before(revision) {
             if listed.get(&key).is_none_or(|e| e.value.is_none()) {
@@ -899,7 +922,7 @@
         let delay = Self::delay(node, server);
         let op = self.ops[self.sends[send].op].clone();
         if matches!(end, End::Broken) && op.crashes && self.servers[server].up {
-            *self.crashes.entry(op.fingerprint).or_default() += 1;
+            self.crashes.entry(op.fingerprint).or_default().push(self.now);
             self.crash(server, 300 * MS);
             return;
         }
