--- a/crates/protocol/src/clock.rs
+++ b/crates/protocol/src/clock.rs
@@ -54,7 +54,11 @@
         self.last = if wall_ms > floor.wall_ms {
             HybridTime { wall_ms, logical: 0 }
         } else {
-            HybridTime { wall_ms: floor.wall_ms, logical: floor.logical + 1 }
+            // A faulty daemon may send a full counter. Wrapping it would take the clock back.
+            match floor.logical.checked_add(1) {
+                Some(logical) => HybridTime { wall_ms: floor.wall_ms, logical },
+                None => HybridTime { wall_ms: floor.wall_ms.saturating_add(1), logical: 0 },
+            }
         };
         self.last
     }
--- a/crates/protocol/src/convert.rs
+++ b/crates/protocol/src/convert.rs
@@ -54,11 +54,13 @@
     };
     let (kind, name) = key.split_once('/').unwrap_or((key, ""));
     let value = match kind {
-        "contract" => ConfigValue::Contract(named(contract(&json(value)?)?, name, |c| c.customer.as_str())?),
-        "service" => ConfigValue::Service(named(service(&json(value)?)?, name, |s| s.name.as_str())?),
+        "contract" => {
+            ConfigValue::Contract(named(contract(&json(value)?)?, name, |c| c.customer.to_string())?)
+        }
+        "service" => ConfigValue::Service(named(service(&json(value)?)?, name, |s| s.name.to_string())?),
         "topology" => ConfigValue::Topology(topology(&json(value)?)?),
         "fleet" => ConfigValue::Fleet(fleet(&json(value)?)?),
-        "drain" => ConfigValue::Drain(drain(&json(value)?)?),
+        "drain" => ConfigValue::Drain(named(drain(&json(value)?)?, name, drain_name)?),
         "blocks" => ConfigValue::Blocks(value.into()),
         _ => return Ok(None),
     };
@@ -69,14 +71,19 @@
     serde_json::from_str(value).map_err(|e| ConvertError::new("value", e))
 }
 
-fn named<T>(value: T, name: &str, own_name: impl Fn(&T) -> &str) -> Result<T, ConvertError> {
-    if own_name(&value) != name {
-        let problem = format!("the value is of {:?}, the key of {name:?}", own_name(&value));
-        return Err(ConvertError::new("name", problem));
+fn named<T>(value: T, name: &str, own_name: impl Fn(&T) -> String) -> Result<T, ConvertError> {
+    let own = own_name(&value);
+    if own != name {
+        return Err(ConvertError::new("name", format!("the value is of {own:?}, the key of {name:?}")));
     }
     Ok(value)
 }
 
+/// The end of a drain is the deletion of its key, which names the scope. A value of another scope would stay in force.
+fn drain_name(scope: &DrainScope) -> String {
+    format!("{}/{}", scope.kind(), scope.name())
+}
+
 fn field<T: std::str::FromStr<Err: ToString>>(field: &str, text: &str) -> Result<T, ConvertError> {
     text.parse().map_err(|e: T::Err| ConvertError::new(field, e.to_string()))
 }
@@ -137,7 +144,7 @@
 pub fn service(value: &ServiceValue) -> Result<ServiceSpec, ConvertError> {
     let backends = list("backends", &value.backends, backend)?;
     unique("backends", backends.iter().map(|b| &b.name))?;
-    if value.standard_floor + value.bulk_floor > 100 {
+    if u16::from(value.standard_floor) + u16::from(value.bulk_floor) > 100 {
         return Err(ConvertError::new("bulk_floor", "the floors exceed 100 % together"));
     }
     if value.typical_run_ms == 0 {
--- a/crates/protocol/src/replay.rs
+++ b/crates/protocol/src/replay.rs
@@ -25,7 +25,7 @@
     }
 
     fn accept(&mut self, sequence: u64) -> bool {
-        if sequence + WINDOW <= self.highest {
+        if self.highest.saturating_sub(sequence) >= WINDOW {
             return false;
         }
         if sequence > self.highest {
