--- a/crates/daemons/src/ctl/load.rs
+++ b/crates/daemons/src/ctl/load.rs
@@ -110,10 +110,10 @@
     #[argh(option, default = "1.0")]
     times: f64,
     /// start of the flood in ms
-    #[argh(option, default = "3000")]
+    #[argh(option, default = "2000")]
     from_ms: u64,
     /// end of the flood in ms
-    #[argh(option, default = "11000")]
+    #[argh(option, default = "9000")]
     until_ms: u64,
 }
 
--- a/crates/daemons/src/load/caller.rs
+++ b/crates/daemons/src/load/caller.rs
@@ -21,6 +21,10 @@
 use super::policy::{Policy, Pool};
 use super::trace::TraceRequest;
 
+/// Connections per worker and region. Without a bound, a short pause of the machine made the callers open thousands of
+/// connections at once, which kept the link relay busy until the end of the run. It is above the number of requests
+/// that wait in a flood; a request that waits for a connection shows it in its latency.
+const MAX_CONNECTIONS: usize = 400;
 /// Open requests per worker; more are recorded as not sent.
 const MAX_OPEN: usize = 20_000;
 /// Answers are awaited for this time after the deadline, to tell late answers from lost ones.
@@ -127,8 +131,11 @@
     for region in &deployment.regions {
         let ip = deployment.client_ip(region).ok_or_else(|| LoadError::invalid("a region has no callers"))?;
         check_loopback(ip)?;
-        let connector =
-            Connector::new().limit(0).local_address(ip).timeout(CONNECT_TIMEOUT).conn_keep_alive(KEEP_ALIVE);
+        let connector = Connector::new()
+            .limit(MAX_CONNECTIONS)
+            .local_address(ip)
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(KEEP_ALIVE);
         let client = Client::builder().connector(connector).disable_redirects().disable_timeout().finish();
         clients.insert(region.as_str().into(), client);
     }
--- a/crates/daemons/src/load/trace.rs
+++ b/crates/daemons/src/load/trace.rs
@@ -93,8 +93,8 @@
         let rank = |load, deadline_ms, once, bytes| RankSpec { load, deadline_ms, once, bytes };
         Self {
             seed: 1,
-            length_ms: 12_000,
-            ranks: [rank(0.25, 1_000, 0.25, 512), rank(0.2, 2_000, 0.5, 1_024), rank(0.1, 6_000, 0.0, 4_096)],
+            length_ms: 10_000,
+            ranks: [rank(0.25, 1_500, 0.25, 512), rank(0.2, 2_000, 0.5, 1_024), rank(0.1, 6_000, 0.0, 4_096)],
             regions: vec![1.0; deployment.regions.len()],
             services: vec![1.0; deployment.services.len()],
             flood: None,
@@ -183,7 +183,8 @@
             customer: self.deployment.customers[customer].as_str().into(),
             service: service.name.as_str().into(),
             rank: self.rank,
-            deadline_ms: spec.deadline_ms,
+            // Daemons shorten longer deadlines to that of the contract.
+            deadline_ms: spec.deadline_ms.min(service.max_deadline_ms as u32),
             repeatable: self.rng.random::<f64>() >= spec.once,
             run_ms: service.typical_run_ms as u32,
             bytes: spec.bytes,
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -94,6 +94,9 @@
     /// factor of the typical run times; longer runs mean fewer requests/s for the same load
     #[argh(option, default = "1")]
     run_scale: u64,
+    /// rate of each contract in percent of the capacity of a service
+    #[argh(option)]
+    rate_percent: Option<u64>,
 }
 
 fn main() -> ExitCode {
@@ -137,6 +140,7 @@
             for service in &mut deployment.services {
                 service.typical_run_ms *= args.run_scale;
             }
+            deployment.rate_percent = args.rate_percent.unwrap_or(deployment.rate_percent);
             deployment.write(&args.dir)?;
             let running = deployment.start()?;
             serve(&running.relay.address().to_string())
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -26,6 +26,8 @@
 const PLATFORM_NETWORK: u8 = 200;
 /// Connections over a cut link are closed after this time (chosen; the design page gives none).
 const STALL_MS: u64 = 5_000;
+/// Rate of each contract in percent of the capacity of a service (chosen).
+const RATE_PERCENT: u64 = 50;
 /// Lag of the VM list (chosen).
 const VM_LIST_LAG_MS: u64 = 5_000;
 
@@ -101,6 +103,8 @@
     pub regions: Vec<String>,
     /// One contract each.
     pub customers: Vec<String>,
+    /// Rate of each contract in percent of the capacity of a service.
+    pub rate_percent: u64,
     /// One-way delay between the domains of a region.
     pub domain_delay_ms: u64,
     /// One-way delay between regions.
@@ -224,6 +228,7 @@
             block,
             regions: owned(sizes.regions),
             customers: owned(sizes.customers),
+            rate_percent: RATE_PERCENT,
             domain_delay_ms: 1,
             region_delay_ms: sizes.region_delay_ms,
             client_delay_ms: sizes.client_delay_ms,
