--- a/crates/state/src/node/configuration.rs
+++ b/crates/state/src/node/configuration.rs
@@ -6,7 +6,7 @@
 use crate::config::{Entry, Offer};
 use crate::id::{Backend, Customer, NodeId, Region, Service};
 use crate::ledger::{LimitKey, Scope, Units};
-use crate::model::{BackendSpec, ConfigValue, Contract, Fleet, ServiceSpec, Topology};
+use crate::model::{BackendSpec, ConfigValue, Contract, Fleet, Percent, ServiceSpec, Topology};
 use crate::node::limits::{link_key, rate_key, shift_key};
 use crate::node::service::{BackendState, Lender, ServiceState};
 use crate::node::{ConfigSource, Effect, Node, Notice, ParsedEntry, PeerMessage, VmView};
@@ -16,7 +16,7 @@
 /// Largest value in bytes that is pushed by datagram. Larger ones are fetched when the digest differs.
 const PUSH_MAX_BYTES: usize = 900;
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     pub(super) fn on_config(
         &mut self,
         now: Timestamp,
@@ -99,6 +99,9 @@
         self.membership.set_fleet(now, &fleet);
         self.quarantine.set_fleet(&fleet);
         self.ledger.set_fleet(now, &fleet);
+        if self.fleet.members.is_empty() {
+            self.awareness.catch_up(now);
+        }
         self.fleet = fleet;
         out.push(Effect::Notice(Notice::FleetChanged { members, previous }));
     }
@@ -107,7 +110,9 @@
         match self.services.get_mut(&spec.name) {
             Some(svc) => svc.reconfigure(spec),
             None => {
-                self.services.insert(spec.name.clone(), ServiceState::new(spec, now));
+                let mut svc = ServiceState::new(spec.clone(), P::default(), now);
+                svc.routing.set_leaving(&self.vms_leaving);
+                self.services.insert(spec.name, svc);
             }
         }
     }
@@ -148,8 +153,10 @@
         limits.extend(self.contracts.values().flat_map(|c| contract_limits(c, &regions)));
         limits.extend(link_limits(&self.topology));
         self.set_limits(now, limits);
-        self.routing.set_backends(now, &specs);
-        self.routing.set_drains(&self.drains);
+        for svc in self.services.values_mut() {
+            svc.routing.set_backends(now, &svc.spec.backends);
+            svc.routing.set_drains(&self.drains);
+        }
         self.choose_lenders();
     }
 
@@ -161,13 +168,23 @@
         self.limits.retain(|key| keys.contains(key));
         for limit in limits {
             if !matches!(limit.key, LimitKey::Slots(_)) {
-                self.limits.add(now, limit.key.clone());
+                let floors = self.floors_of(&limit.key);
+                self.limits.add(now, limit.key.clone(), floors);
             }
             self.ledger.set_limit(now, limit.key, limit.units, limit.scope);
         }
         self.refresh_limits(now);
     }
 
+    /// Floors by rank of a limit: those of its service. A link is shared by all services and has none.
+    fn floors_of(&self, key: &LimitKey) -> [Percent; 3] {
+        let (LimitKey::Rate(_, service) | LimitKey::Shift(_, service, _)) = key else {
+            return [Percent(0); 3];
+        };
+        let spec = self.services.get(service).map(|svc| &svc.spec);
+        spec.map_or([Percent(0); 3], |spec| [Percent(0), spec.standard_floor, spec.bulk_floor])
+    }
+
     /// Lists the daemons that hold slots of each service, the nearest first.
     fn choose_lenders(&mut self) {
         for svc in self.services.values_mut() {
@@ -190,20 +207,26 @@
         report: &LoadReport,
         out: &mut Vec<Effect>,
     ) {
-        self.routing.on_report(now, backend, report);
+        for svc in self.services.values_mut() {
+            svc.routing.on_report(now, backend, report);
+        }
         self.note_accepting(now, out);
     }
 
     pub(super) fn on_vms(&mut self, now: Timestamp, vms: VmView, out: &mut Vec<Effect>) {
-        self.routing.set_leaving(&vms.leaving);
+        for svc in self.services.values_mut() {
+            svc.routing.set_leaving(&vms.leaving);
+        }
+        self.vms_leaving = vms.leaving.clone();
         self.fleet_watch.on_list(now, &vms);
         self.note_accepting(now, out);
     }
 
     pub(super) fn note_accepting(&mut self, now: Timestamp, out: &mut Vec<Effect>) {
-        for backend in self.services.values().flat_map(|svc| &svc.backends) {
+        let backends = self.services.values().flat_map(|svc| svc.backends.iter().map(move |b| (svc, b)));
+        for (svc, backend) in backends {
             let name = &backend.spec.name;
-            let accepts = self.routing.accepts(now, name);
+            let accepts = svc.routing.accepts(now, name);
             match self.accepting.get_mut(name) {
                 Some(last) if *last == accepts => continue,
                 Some(last) => *last = accepts,
--- a/crates/state/src/node/mod.rs
+++ b/crates/state/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! command and the tests all feed it events and a timestamp, and carry out the effects that it returns. So a recorded
 //! trace gives the same decisions again.
 
+mod awareness;
 mod borrowing;
 mod configuration;
 mod effect;
@@ -27,6 +28,7 @@
 
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 
 pub use effect::{Dispatch, Effect, Outcome, Reason, Refusal};
 pub use event::{
@@ -39,15 +41,16 @@
 use crate::blocks::Blocks;
 use crate::bucket::TokenBucket;
 use crate::config::ConfigMap;
-use crate::id::{Backend, Customer, Domain, Incarnation, NodeId, Region, RequestId, Service};
+use crate::id::{Backend, Customer, Domain, Fingerprint, Incarnation, NodeId, Region, RequestId, Service};
 use crate::ledger::{Ledger, LoanId};
 use crate::membership::{Liveness, Membership, MembershipConfig};
 use crate::model::{Contract, DrainScope, Fleet, FleetMember, Topology};
 use crate::operation::{Issuer, Minute, OperationConfig, OperationTable};
 use crate::quarantine::Quarantine;
-use crate::routing::{Policy, Routing, TwoChoices};
+use crate::routing::{Policy, TwoChoices};
 use crate::time::Timestamp;
 
+use awareness::Awareness;
 use borrowing::Asked;
 use fleet::FleetWatch;
 use limits::Limits;
@@ -70,7 +73,7 @@
 const CLAIM_BURST: Duration = Duration::from_secs(1);
 
 /// Who and where a daemon is.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeConfig {
     /// The daemon and its boot.
     pub me: Incarnation,
@@ -91,7 +94,7 @@
     rng: Pcg32,
     entries: ConfigMap,
     contracts: BTreeMap<Customer, Contract>,
-    services: BTreeMap<Service, ServiceState>,
+    services: BTreeMap<Service, ServiceState<P>>,
     topology: Topology,
     fleet: Fleet,
     drains: BTreeSet<DrainScope>,
@@ -99,7 +102,7 @@
     ledger: Ledger,
     limits: Limits,
     claims: TokenBucket,
-    routing: Routing<P>,
+    vms_leaving: BTreeSet<Backend>,
     operations: OperationTable,
     quarantine: Quarantine,
     membership: Membership,
@@ -114,6 +117,9 @@
     watching: bool,
     fleet_watch: FleetWatch,
     stop: StopPhase,
+    awareness: Awareness,
+    /// How often evidence is still to be sent again.
+    evidence_repeats: BTreeMap<Fingerprint, u8>,
     /// Whose operations went to the successor.
     handed_over: Vec<Incarnation>,
     next_gossip: Timestamp,
@@ -136,7 +142,7 @@
             ledger: Ledger::new(me, now),
             limits: Limits::default(),
             claims: claim_bucket(now),
-            routing: Routing::with_policy(P::default()),
+            vms_leaving: BTreeSet::new(),
             operations: OperationTable::new(me, OperationConfig::default()),
             quarantine: Quarantine::new(me),
             membership: Membership::new(me, cfg.domain.clone(), MembershipConfig::default(), now),
@@ -151,6 +157,8 @@
             watching: false,
             fleet_watch: FleetWatch::default(),
             stop: StopPhase::Serving,
+            awareness: Awareness::new(now),
+            evidence_repeats: BTreeMap::new(),
             handed_over: Vec::new(),
             next_gossip: now,
             next_refresh: now,
@@ -165,9 +173,10 @@
     bucket
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// Takes one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Timestamp, event: Event, out: &mut Vec<Effect>) {
+        self.awareness.on_event(now);
         match event {
             Event::Request(req) => self.on_request(now, req, out),
             Event::AttemptEnded { request, end, head_received, response_bytes, answer } => {
--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -84,7 +84,7 @@
     Refusal { outcome: Outcome::Unknown, reason, retry_after: None }
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     fn terms(&self, customer: &Customer, service: &Service) -> Option<&ServiceTerms> {
         self.contracts.get(customer)?.services.iter().find(|t| t.service == *service)
     }
@@ -115,8 +115,8 @@
         if req.forwarded && is_repeatable {
             return Ok(deadline);
         }
-        let key = rate_key(&req.customer, &req.service);
-        if !self.limits.take(now, &key, 1) {
+        let (key, rank) = (rate_key(&req.customer, &req.service), req.rank);
+        if !self.limits.take(now, &mut self.ledger, &key, rank, 1) {
             return Err(not_run(Reason::RateLimit, Some(self.limits.wait(now, &key, 1))));
         }
         Ok(deadline)
@@ -140,7 +140,7 @@
                 }
                 if !self.claims.take(now, 1) {
                     let wait = self.claims.wait(now, 1);
-                    return self.refuse(now, id, not_run(Reason::ClaimBudget, Some(wait)), out);
+                    return self.refuse_unclaimed(now, id, Reason::ClaimBudget, wait, out);
                 }
                 let customer = pending.req.customer.clone();
                 let issuer = self.operations.issuer(self.minute(now));
@@ -162,7 +162,7 @@
         let issuer = match end {
             ClaimEnd::Owned(issuer) => *issuer,
             ClaimEnd::Unavailable => {
-                return self.refuse(now, id, not_run(Reason::ClaimUnavailable, Some(RETRY_SOON)), out);
+                return self.refuse_unclaimed(now, id, Reason::ClaimUnavailable, RETRY_SOON, out);
             }
         };
         let Idempotency::Key(key) = pending.req.idempotency.clone() else {
@@ -177,6 +177,20 @@
         self.on_begin(now, id, begin, out);
     }
 
+    /// Refuses a request whose owner is not known. An earlier sending of it may have run elsewhere.
+    fn refuse_unclaimed(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        reason: Reason,
+        wait: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let resent = self.requests.get(&id).is_some_and(|p| p.req.resent);
+        let outcome = if resent { Outcome::Unknown } else { Outcome::NotRun };
+        self.refuse(now, id, Refusal { outcome, reason, retry_after: Some(wait) }, out);
+    }
+
     fn on_begin(&mut self, now: Timestamp, id: RequestId, begin: Begin, out: &mut Vec<Effect>) {
         match begin {
             Begin::Run => {
@@ -392,7 +406,6 @@
         };
         let service = pending.req.service.clone();
         let ran_alone = pending.alone.then_some(pending.req.fingerprint);
-        self.routing.on_end(now, &attempt.backend, &ended.end);
         self.note_end(now, id, &attempt, &ended);
         self.release(now, &service, attempt.holds, &ended.end);
         match ended.end {
@@ -424,6 +437,7 @@
         let Some(svc) = self.services.get_mut(&req.service) else {
             return;
         };
+        svc.routing.on_end(now, &attempt.backend, &ended.end);
         svc.running = svc.running.saturating_sub(1);
         if let AttemptEnd::Ran { .. } = ended.end {
             svc.earn_retry();
@@ -448,7 +462,7 @@
         };
         let cleared = pending.run_start.as_ref().and_then(|start| self.quarantine.on_success(now, start));
         if let Some(evidence) = cleared {
-            self.send_evidence(now, &evidence, out);
+            self.send_evidence(&evidence, out);
         }
         out.push(Effect::Deliver { request: id });
         if !pending.owns_operation {
@@ -495,7 +509,7 @@
         let evidence = self.quarantine.on_crash(now, fingerprint);
         let crashes = u32::try_from(evidence.crashes()).unwrap_or(u32::MAX);
         out.push(Effect::Notice(Notice::CrashSuspected { request: id, fingerprint, backend, crashes }));
-        self.send_evidence(now, &evidence, out);
+        self.send_evidence(&evidence, out);
     }
 }
 
--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -96,7 +96,7 @@
     pub members: Vec<MemberView>,
 }
 
-impl<P: Policy> Node<P> {
+impl<P: Policy + Default> Node<P> {
     /// The view for the workers.
     pub fn view(&self, now: Timestamp) -> NodeView {
         NodeView {
@@ -139,7 +139,9 @@
         if member.node == self.cfg.me.node {
             return !self.is_leaving();
         }
-        let leaving = self.membership.member(member.node).is_some_and(|m| m.leaving);
+        // A daemon that has just started has not heard of the others: it knows neither whether they leave nor the
+        // boot that their tokens must name.
+        let leaving = self.membership.member(member.node).is_none_or(|m| m.leaving);
         !leaving && self.membership.liveness(now, member.node) != Liveness::Dead
     }
 
@@ -185,9 +187,9 @@
         LimitView { key: key.clone(), share: self.ledger.share(key), usable, in_use }
     }
 
-    /// The daemons of the fleet and their addresses.
-    pub fn fleet_members(&self) -> &[FleetMember] {
-        &self.fleet.members
+    /// Address for messages to another daemon. Previous members of the fleet still get messages.
+    pub fn peer_address(&self, node: NodeId) -> Option<SocketAddr> {
+        self.fleet_member(node).map(|m| m.peer_address)
     }
 
     /// Backend servers whose health this daemon polls: those in whose home set it is.
@@ -201,6 +203,11 @@
         polled
     }
 
+    /// The entry of a configuration key as it is held here, deleted or not.
+    pub fn config_entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
     /// Keys and revisions in force, for a fetch from another daemon.
     pub fn config_summary(&self) -> Vec<KeyRevision> {
         self.entries.summary()
