Keep the text of client blocks once, and fit fetches into frames

Cause: the configuration map kept the text of each `config/blocks/` value after the block table had loaded it. Change: ConfigMap::forget_value drops the text and keeps key, revision and digest; Node writes the text again with Blocks::part_text when another daemon fetches it or an operator reads it. A part that is not valid keeps its text and is passed on as it is, and is now noted as config-invalid instead of config-applied.

Second fault, found on the way: an answer to a fetch above 1 MiB + 64 KiB exceeded the frame limit and was never sent, so no daemon could get such a configuration from its peers. Answers are now cut to 1 MiB, the fleet value first and client blocks last; the digests differ until the rest has been fetched.

--- a/crates/coordination/src/peers.rs
+++ b/crates/coordination/src/peers.rs
@@ -149,6 +149,7 @@
     ///
     /// [`OpenError`] if the frame is refused.
     pub fn open_request(&self, buf: &[u8]) -> Result<(Incarnation, StreamRequest), OpenError> {
+        self.metrics.on_frame(buf.len(), 0);
         let (header, req) = self.open::<StreamRequest>(Channel::Stream, buf)?;
         Ok((header.sender, req))
     }
@@ -159,6 +160,8 @@
     ///
     /// [`io::Error`] if the answer is too large.
     pub fn seal_answer(&self, to: NodeId, answer: &StreamAnswer) -> io::Result<Vec<u8>> {
-        self.seal(Channel::Stream, to, answer)
+        let frame = self.seal(Channel::Stream, to, answer)?;
+        self.metrics.on_frame(0, frame.len());
+        Ok(frame)
     }
 }
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use medlarstair_standins::{
     BackendConfig, BackendServer, Deployment, KvService, Relay, RelayConfig, VmList, VmListFaults, VmListing,
-    Worker,
+    Worker, flat,
 };
 use serde::de::DeserializeOwned;
 
@@ -28,6 +28,7 @@
     Backend(BackendArgs),
     Relay(RelayArgs),
     Deployment(DeploymentArgs),
+    Flat(FlatArgs),
 }
 
 /// key-value service
@@ -96,6 +97,33 @@
     run_scale: u64,
 }
 
+/// stand-ins for any number of daemons without delays, to measure capacity
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "flat")]
+struct FlatArgs {
+    /// folder for deployment.json, settings and the initial keys
+    #[argh(option)]
+    dir: PathBuf,
+    /// second octet of all loopback addresses
+    #[argh(option)]
+    block: u8,
+    /// entry daemons
+    #[argh(option)]
+    daemons: usize,
+    /// failure domains
+    #[argh(option, default = "1")]
+    domains: usize,
+    /// regions
+    #[argh(option, default = "1")]
+    regions: usize,
+    /// backend servers
+    #[argh(option, default = "1")]
+    backends: usize,
+    /// run time of a request in ms
+    #[argh(option, default = "20")]
+    run_ms: u64,
+}
+
 fn main() -> ExitCode {
     match run(argh::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -141,6 +169,14 @@
             let running = deployment.start()?;
             serve(&running.relay.address().to_string())
         }
+        Command::Flat(args) => {
+            let FlatArgs { daemons, domains, regions, backends, run_ms, .. } = args;
+            let size = flat::FlatSize { daemons, domains, regions, backends, run_ms };
+            let deployment = flat::deployment(size, args.block);
+            deployment.write(&args.dir)?;
+            let running = flat::start(&deployment)?;
+            serve(&running.kv.address().to_string())
+        }
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod backend;
 mod deployment;
+pub mod flat;
 mod http;
 mod kv;
 mod relay;
--- a/crates/state/examples/memory.rs
+++ b/crates/state/examples/memory.rs
@@ -1,5 +1,5 @@
 //! Prints the memory of the client block table and of the membership, the bytes that the
-//! membership sends and the size of the fleet value.
+//! membership sends, the size of the fleet value and what a daemon holds with all client blocks in force.
 //!
 //! `cargo run --release -p medlarstair-state --example memory`
 
@@ -7,6 +7,13 @@
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use medlarstair_state::blocks::Blocks;
+use medlarstair_state::config::Entry;
+use medlarstair_state::id::{Boot, Incarnation, NodeId, Revision};
+use medlarstair_state::model::ConfigValue;
+use medlarstair_state::node::{ConfigSource, Event, Node, NodeConfig, ParsedEntry};
+use medlarstair_state::operation::Minute;
+use medlarstair_state::routing::TwoChoices;
+use medlarstair_state::time::Timestamp;
 use peak_alloc::PeakAlloc;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -84,6 +91,30 @@
     );
 }
 
+/// What a daemon holds after all parts have come into force, texts that it keeps included.
+fn node_with_blocks(count: usize, per_part: usize) {
+    let blocks = inputs::blocks(count);
+    let before = ALLOCATOR.current_usage();
+    let cfg = NodeConfig {
+        me: Incarnation { node: NodeId(1), boot: Boot(1) },
+        region: "r1".parse().expect("the name is valid"),
+        domain: "d1".parse().expect("the name is valid"),
+        epoch: Minute(0),
+        seed: 1,
+    };
+    let mut node = Node::<TwoChoices>::new(cfg, Timestamp::ZERO);
+    for (i, part) in blocks.chunks(per_part).enumerate() {
+        let text: Box<str> = inputs::text(part).into();
+        let (key, revision) = (format!("config/blocks/{i:05}").into(), Revision(i as u64 + 1));
+        let entry = Entry { key, revision, value: Some(text.clone()) };
+        let entries = vec![ParsedEntry { entry, value: Some(ConfigValue::Blocks(text)) }];
+        let event = Event::Config { entries, source: ConfigSource::Peer };
+        node.handle(Timestamp::ZERO, event, &mut Vec::new());
+    }
+    let bytes = ALLOCATOR.current_usage() - before;
+    println!("node blocks={count} per_part={per_part} MB={:.1}", bytes as f64 / 1e6);
+}
+
 fn membership(domains: &[u32], index: usize) {
     let before = ALLOCATOR.current_usage();
     let mut member = members::warmed(domains, index);
@@ -130,6 +161,7 @@
         fleet_value(size);
     }
     for count in [39_000, 390_000, 3_900_000] {
+        node_with_blocks(count, 2_500);
         let blocks = inputs::blocks(count);
         for per_part in [2_500, 39_000] {
             block_table("clustered", per_part, &blocks);
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -68,11 +68,15 @@
 
 /// An entry ordered by its key alone.
 #[derive(Debug, Clone)]
-struct ByKey(Entry);
+struct ByKey {
+    entry: Entry,
+    /// The entry has a value that is not kept here; see [`ConfigMap::forget_value`].
+    forgotten: bool,
+}
 
 impl PartialEq for ByKey {
     fn eq(&self, other: &Self) -> bool {
-        self.0.key == other.0.key
+        self.entry.key == other.entry.key
     }
 }
 
@@ -86,13 +90,13 @@
 
 impl Ord for ByKey {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.0.key.cmp(&other.0.key)
+        self.entry.key.cmp(&other.entry.key)
     }
 }
 
 impl Borrow<str> for ByKey {
     fn borrow(&self) -> &str {
-        &self.0.key
+        &self.entry.key
     }
 }
 
@@ -132,7 +136,7 @@
             match entry.revision.cmp(&held.revision) {
                 Ordering::Less => return Offer::Older,
                 Ordering::Equal => {
-                    if entry.value != held.value {
+                    if !self.is_forgotten(&entry.key) && entry.value != held.value {
                         self.conflicts += 1;
                     }
                     return Offer::Same;
@@ -142,13 +146,31 @@
         }
         self.hash ^= entry_hash(&entry);
         self.highest = self.highest.max(entry.revision.0);
-        self.entries.replace(ByKey(entry));
+        self.entries.replace(ByKey { entry, forgotten: false });
         Offer::Newer
     }
 
+    /// Drops the text of a value that its owner keeps in another form; key, revision and digest stay. The entry then
+    /// has an empty value until a newer one is offered. Nothing happens for a key that is unknown or deleted.
+    pub fn forget_value(&mut self, key: &str) {
+        let Some(mut held) = self.entries.take(key) else {
+            return;
+        };
+        if held.entry.value.is_some() {
+            held.entry.value = Some(Box::default());
+            held.forgotten = true;
+        }
+        self.entries.insert(held);
+    }
+
+    /// Whether the text of the value of `key` was dropped by [`forget_value`](Self::forget_value).
+    pub fn is_forgotten(&self, key: &str) -> bool {
+        self.entries.get(key).is_some_and(|held| held.forgotten)
+    }
+
     /// The entry of `key`, also when it records a deletion.
     pub fn get(&self, key: &str) -> Option<&Entry> {
-        self.entries.get(key).map(|held| &held.0)
+        self.entries.get(key).map(|held| &held.entry)
     }
 
     /// The digest that heartbeats carry.
@@ -197,13 +219,13 @@
         let from = (Bound::Included(prefix), Bound::Unbounded);
         self.entries
             .range::<str, _>(from)
-            .map(|held| &held.0)
+            .map(|held| &held.entry)
             .take_while(move |entry| entry.key.starts_with(prefix))
     }
 
     /// Every entry, ordered by key, deletions included.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().map(|held| &held.0)
+        self.entries.iter().map(|held| &held.entry)
     }
 
     /// Number of offers that had a different value at the revision held.
--- a/crates/state/src/node/configuration.rs
+++ b/crates/state/src/node/configuration.rs
@@ -71,14 +71,29 @@
     fn apply(&mut self, now: Timestamp, entry: &Entry, value: Option<ConfigValue>, out: &mut Vec<Effect>) {
         let (key, revision) = (entry.key.clone(), entry.revision);
         match value {
-            Some(value) => self.apply_value(now, &key, value, out),
+            // A part that cannot be read leaves the last valid one in force.
+            Some(ConfigValue::Blocks(text)) if !self.load_blocks(&key, &text) => {
+                return out.push(Effect::Notice(Notice::ConfigInvalid { key, revision }));
+            }
+            Some(value) => self.apply_value(now, value, out),
             None if entry.value.is_none() => self.apply_deletion(&key),
             None => return out.push(Effect::Notice(Notice::ConfigInvalid { key, revision })),
         }
         out.push(Effect::Notice(Notice::ConfigApplied { key, revision }));
     }
 
-    fn apply_value(&mut self, now: Timestamp, key: &str, value: ConfigValue, out: &mut Vec<Effect>) {
+    /// Loads a part of the client blocks. The table replaces the text, since both together exceed the memory for control
+    /// work at the design size. The text of a part that is not valid stays, so that it is passed on as it is and not in
+    /// the form of the part before it.
+    fn load_blocks(&mut self, key: &str, text: &str) -> bool {
+        let valid = Arc::make_mut(&mut self.blocks).load_part(key, text).is_ok();
+        if valid {
+            self.entries.forget_value(key);
+        }
+        valid
+    }
+
+    fn apply_value(&mut self, now: Timestamp, value: ConfigValue, out: &mut Vec<Effect>) {
         match value {
             ConfigValue::Contract(contract) => {
                 self.contracts.insert(contract.customer.clone(), contract);
@@ -89,8 +104,8 @@
             ConfigValue::Drain(scope) => {
                 self.drains.insert(scope);
             }
-            // A part that cannot be read leaves the last valid one in force.
-            ConfigValue::Blocks(text) => drop(Arc::make_mut(&mut self.blocks).load_part(key, &text)),
+            // Loaded already.
+            ConfigValue::Blocks(_) => {}
         }
     }
 
--- a/crates/state/src/node/view.rs
+++ b/crates/state/src/node/view.rs
@@ -11,6 +11,7 @@
 use crate::membership::Liveness;
 use crate::model::{FleetMember, ServiceSpec};
 use crate::node::Node;
+use crate::node::fleet::FLEET_KEY;
 use crate::operation::Issuer;
 use crate::routing::Policy;
 use crate::time::Timestamp;
@@ -21,6 +22,15 @@
 /// Most entry VMs that a lookup names.
 const LOOKUP_ENTRIES_MAX: usize = 8;
 
+/// Largest answer to a fetch in bytes, unless a single entry is larger. A frame takes 1 MiB and 64 KiB, an entry 1 MiB.
+const FETCH_MAX_BYTES: usize = 1 << 20;
+
+/// Bytes of an entry besides key and value: revision, lengths and the mark of a deletion.
+const ENTRY_OVERHEAD_BYTES: usize = 20;
+
+/// Prefix of the keys of client blocks.
+const BLOCKS_PREFIX: &str = "config/blocks/";
+
 /// One entry VM that a caller may use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LookupEntry {
@@ -204,8 +214,17 @@
     }
 
     /// The entry of a configuration key as it is held here, deleted or not.
-    pub fn config_entry(&self, key: &str) -> Option<&Entry> {
-        self.entries.get(key)
+    pub fn config_entry(&self, key: &str) -> Option<Entry> {
+        self.entries.get(key).cloned().and_then(|entry| self.with_text(entry))
+    }
+
+    /// The entry with its value, which the block table writes again if only the table holds it. `None` if there is no
+    /// such part: an entry without its text must not be passed on.
+    fn with_text(&self, mut entry: Entry) -> Option<Entry> {
+        if self.entries.is_forgotten(&entry.key) {
+            entry.value = Some(self.blocks.part_text(&entry.key)?.into());
+        }
+        Some(entry)
     }
 
     /// Keys and revisions in force, for a fetch from another daemon.
@@ -213,9 +232,22 @@
         self.entries.summary()
     }
 
-    /// Entries that are newer here than in the summary of another daemon.
+    /// Entries that are newer here than in the summary of another daemon, as many as fit in one frame; the digests
+    /// differ until it has asked for the rest. The fleet value comes first, since the other daemon knows from it whom to
+    /// ask, and client blocks come last.
     pub fn config_missing_from(&self, summary: &[KeyRevision]) -> Vec<Entry> {
-        self.entries.missing_from(summary)
+        let mut missing = self.entries.missing_from(summary);
+        missing.sort_by_key(|entry| (&*entry.key != FLEET_KEY, entry.key.starts_with(BLOCKS_PREFIX)));
+        let mut bytes = 0;
+        let mut fitting = Vec::new();
+        for entry in missing.into_iter().filter_map(|entry| self.with_text(entry)) {
+            bytes += entry.key.len() + entry.value.as_ref().map_or(0, |v| v.len()) + ENTRY_OVERHEAD_BYTES;
+            if bytes > FETCH_MAX_BYTES && !fitting.is_empty() {
+                break;
+            }
+            fitting.push(entry);
+        }
+        fitting
     }
 
     /// Keys that are held at a revision before `revision` and are not deleted.
--- a/crates/state/tests/config.rs
+++ b/crates/state/tests/config.rs
@@ -137,3 +137,22 @@
     };
     runner.run(&steps, run).unwrap();
 }
+
+/// Guards against a digest or a comparison that depends on whether the text of a value is kept.
+#[test]
+fn a_forgotten_value_changes_no_digest() {
+    let mut map = ConfigMap::new();
+    for n in 1..=3 {
+        map.offer(entry(&format!("blocks/{n}"), n, "text"));
+    }
+    map.offer(entry("blocks/3", 4, "-"));
+    let (digest, summary) = (map.digest(), map.summary());
+    ["blocks/1", "blocks/3", "blocks/9"].iter().for_each(|key| map.forget_value(key));
+    assert_eq!((map.digest(), map.summary()), (digest, summary));
+    assert!(map.is_forgotten("blocks/1") && !map.is_forgotten("blocks/3"), "a deletion has no text");
+    assert!(map.get("blocks/1").unwrap().value.is_some() && map.get("blocks/9").is_none());
+    assert_eq!(map.offer(entry("blocks/1", 1, "text")), Offer::Same);
+    assert_eq!(map.conflicts(), 0);
+    assert_eq!(map.offer(entry("blocks/1", 5, "new")), Offer::Newer);
+    assert!(!map.is_forgotten("blocks/1"));
+}
