--- a/crates/state/tests/node_config.rs
+++ b/crates/state/tests/node_config.rs
@@ -38,13 +38,25 @@
     prop_oneof![process_fault(nodes), store_fault(), domain].boxed()
 }
 
+/// One domain cannot reach the service for 15 s and learns of changes from other domains only.
+fn cut_off(nodes: usize) -> BoxedStrategy<Fault> {
+    (0..nodes.min(6)).prop_map(|domain| Fault::Cut(domain, STORE)).boxed()
+}
+
+fn for_15_s(mut schedule: Schedule) -> Schedule {
+    for timed in &mut schedule.faults {
+        timed.lasts = 15 * SEC;
+    }
+    schedule
+}
+
 fn check(world: &World) {
     assert!(world.checks.in_force_checks > 0, "no daemon had anything to learn");
     world.assert_holds(&["P8"]);
 }
 
 proptest! {
-    #![proptest_config(config(12))]
+    #![proptest_config(config(30))]
 
     #[test]
     fn changes_are_in_force_in_time_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
@@ -55,4 +67,11 @@
     fn changes_are_in_force_in_time_with_two_faults(schedule in schedules(3..8, process_or_store, true)) {
         check(&changes(&schedule));
     }
+
+    #[test]
+    fn changes_reach_domains_without_the_service(
+        schedule in schedules(3..8, cut_off, true).prop_map(for_15_s)
+    ) {
+        check(&changes(&schedule));
+    }
 }
--- a/crates/state/tests/node_crashes.rs
+++ b/crates/state/tests/node_crashes.rs
@@ -29,7 +29,7 @@
         let node = world.rng.random_range(0..nodes);
         let op = world.op(Rank::ALL[i as usize % 3], Idempotency::Repeatable, 30 * MS);
         if i % 2 == 0 {
-            world.ops[op].fingerprint = 100 + i % 5;
+            world.ops[op].fingerprint = 100 + i / 2 % 2;
         }
         world.send_at(at, node, op);
         let answered = crashing.is_none_or(|sent| world.sends[sent].answer.is_some());
@@ -81,7 +81,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(10))]
+    #![proptest_config(config(25))]
 
     #[test]
     fn a_crashing_request_stops_after_three_crashes(schedule in schedules(3..8, no_fault, false)) {
--- a/crates/state/tests/node_home.rs
+++ b/crates/state/tests/node_home.rs
@@ -68,7 +68,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(20))]
+    #![proptest_config(config(25))]
 
     #[test]
     fn every_daemon_serves_15_s_after_one_fault(schedule in schedules(3..8, any_fault, false)) {
--- a/crates/state/tests/node_leaving.rs
+++ b/crates/state/tests/node_leaving.rs
@@ -73,7 +73,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(12))]
+    #![proptest_config(config(25))]
 
     #[test]
     fn leaving_servers_get_no_work_with_one_fault(
--- a/crates/state/tests/node_limits.rs
+++ b/crates/state/tests/node_limits.rs
@@ -39,8 +39,20 @@
     prop_oneof![process_fault(nodes), measurement_fault()].boxed()
 }
 
+/// Restarts that are shorter than the term of a loan.
+fn quick_restarts() -> BoxedStrategy<Schedule> {
+    let kill = |nodes| (0..nodes).prop_map(faults::Fault::Kill).boxed();
+    let shorten = |mut schedule: Schedule| {
+        for timed in &mut schedule.faults {
+            timed.lasts = 50 * MS + timed.lasts % (300 * MS);
+        }
+        schedule
+    };
+    schedules(3..8, kill, true).prop_map(shorten).boxed()
+}
+
 proptest! {
-    #![proptest_config(config(10))]
+    #![proptest_config(config(40))]
 
     #[test]
     fn shifts_stay_under_the_cap_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
@@ -62,6 +74,12 @@
         flood(&schedule).assert_holds(&["P2 slots", "P4"]);
     }
 
+    /// Guards against a lender that forgets in a restart what it has lent.
+    #[test]
+    fn slots_are_not_exceeded_when_lenders_restart(schedule in quick_restarts()) {
+        flood(&schedule).assert_holds(&["P1", "P2 slots"]);
+    }
+
     #[test]
     fn regions_stay_below_their_limit_with_two_faults(
         schedule in schedules(3..8, process_or_measurement, true)
--- a/crates/state/tests/node_once.rs
+++ b/crates/state/tests/node_once.rs
@@ -45,7 +45,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(12))]
+    #![proptest_config(config(25))]
 
     #[test]
     fn an_operation_runs_once_with_one_fault(schedule in schedules(3..8, any_fault, false)) {
--- a/crates/state/tests/node_stop.rs
+++ b/crates/state/tests/node_stop.rs
@@ -126,7 +126,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(8))]
+    #![proptest_config(config(25))]
 
     #[test]
     fn a_planned_stop_interrupts_nothing(schedule in schedules(3..8, no_fault, false)) {
