--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -27,7 +27,7 @@
 /// Connections over a cut link are closed after this time (chosen; the design page gives none).
 const STALL_MS: u64 = 5_000;
 /// Rate of each contract in percent of the capacity of a service (chosen).
-const RATE_PERCENT: u64 = 50;
+pub(crate) const RATE_PERCENT: u64 = 50;
 /// Lag of the VM list (chosen).
 const VM_LIST_LAG_MS: u64 = 5_000;
 
--- a/crates/standins/src/flat.rs
+++ b/crates/standins/src/flat.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use crate::backend::{BackendConfig, BackendServer};
-use crate::deployment::{BackendPlan, Deployment, Endpoint, EntryPlan, ServicePlan};
+use crate::deployment::{BackendPlan, Deployment, Endpoint, EntryPlan, RATE_PERCENT, ServicePlan};
 use crate::kv::KvService;
 use crate::relay::Place;
 use crate::values;
@@ -87,6 +87,7 @@
         region_delay_ms: 0,
         client_delay_ms: 0,
         region_kbit: 280_000,
+        rate_percent: RATE_PERCENT,
         backend: BackendConfig::default(),
         services: vec![service],
         entries: entries.collect(),
