--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use medlarstair_standins::{
     BackendConfig, BackendServer, Deployment, KvService, Relay, RelayConfig, VmList, VmListFaults, VmListing,
-    Worker,
+    Worker, flat,
 };
 use serde::de::DeserializeOwned;
 
@@ -28,6 +28,7 @@
     Backend(BackendArgs),
     Relay(RelayArgs),
     Deployment(DeploymentArgs),
+    Flat(FlatArgs),
 }
 
 /// key-value service
@@ -91,6 +92,39 @@
     /// second octet of all loopback addresses
     #[argh(option, default = "11")]
     block: u8,
+    /// factor of the typical run times; longer runs mean fewer requests/s for the same load
+    #[argh(option, default = "1")]
+    run_scale: u64,
+    /// rate of each contract in percent of the capacity of a service
+    #[argh(option)]
+    rate_percent: Option<u64>,
+}
+
+/// stand-ins for any number of daemons without delays, to measure capacity
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "flat")]
+struct FlatArgs {
+    /// folder for deployment.json, settings and the initial keys
+    #[argh(option)]
+    dir: PathBuf,
+    /// second octet of all loopback addresses
+    #[argh(option)]
+    block: u8,
+    /// entry daemons
+    #[argh(option)]
+    daemons: usize,
+    /// failure domains
+    #[argh(option, default = "1")]
+    domains: usize,
+    /// regions
+    #[argh(option, default = "1")]
+    regions: usize,
+    /// backend servers
+    #[argh(option, default = "1")]
+    backends: usize,
+    /// run time of a request in ms
+    #[argh(option, default = "20")]
+    run_ms: u64,
 }
 
 fn main() -> ExitCode {
@@ -127,14 +161,26 @@
             serve(&relay.address().to_string())
         }
         Command::Deployment(args) => {
-            let Some(deployment) = Deployment::named(&args.name, args.block) else {
+            let Some(mut deployment) = Deployment::named(&args.name, args.block) else {
                 let message = format!("no deployment is called {:?}", args.name);
                 return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
             };
+            for service in &mut deployment.services {
+                service.typical_run_ms *= args.run_scale;
+            }
+            deployment.rate_percent = args.rate_percent.unwrap_or(deployment.rate_percent);
             deployment.write(&args.dir)?;
             let running = deployment.start()?;
             serve(&running.relay.address().to_string())
         }
+        Command::Flat(args) => {
+            let FlatArgs { daemons, domains, regions, backends, run_ms, .. } = args;
+            let size = flat::FlatSize { daemons, domains, regions, backends, run_ms };
+            let deployment = flat::deployment(size, args.block);
+            deployment.write(&args.dir)?;
+            let running = flat::start(&deployment)?;
+            serve(&running.kv.address().to_string())
+        }
     }
 }
 
