Keep the floors of lower ranks in small rate shares

Cause: a contract's rate of 100 requests/s is 14 per daemon; floors of 5 and 10 % of that are below the whole tokens per second that separate buckets need, so bulk work had no floor: in a tenfold urgent flood (Consortium, contracts as they are) standard kept 4.7 % of the slot time and bulk 0.1 %. Ruled out: the queues, which keep 9.2 and 4.8 % when the contracts do not limit. Change: one bucket with credit per rank instead of three buckets; burst and rate stay those of the limit. The test now also runs with 14 requests/s, with the same relative bounds. Conclusion: to be measured again.

--- a/crates/state/src/bucket.rs
+++ b/crates/state/src/bucket.rs
@@ -81,9 +81,14 @@
         Duration::from_micros(missing.div_ceil(u64::from(self.per_second)))
     }
 
-    /// Whether no more tokens can be stored. False while the rate is zero.
-    pub fn is_full(&self, now: Timestamp) -> bool {
-        self.per_second > 0 && self.parts_at(now) == self.capacity()
+    /// Stored tokens.
+    pub fn stored(&self, now: Timestamp) -> f64 {
+        self.parts_at(now) as f64 / PARTS_PER_TOKEN as f64
+    }
+
+    /// Tokens that can be stored at the present rate.
+    pub fn most_stored(&self) -> f64 {
+        self.capacity() as f64 / PARTS_PER_TOKEN as f64
     }
 
     /// Stored tokens as a part of the burst, in percent.
--- a/crates/state/src/ranked.rs
+++ b/crates/state/src/ranked.rs
@@ -2,8 +2,8 @@
 //!
 //! A plain token bucket gives its tokens to whoever asks first, so a flood of bulk work would use up the rate of a
 //! contract and its urgent work would be refused with it. Here the lower ranks leave a part of the stored tokens to the
-//! higher ones, and each lower rank earns its floor in a bucket of its own, which a flood of urgent work cannot empty.
-//! The rates of all buckets sum to the limit.
+//! higher ones. Each lower rank earns credit at its floor, and every other rank leaves the tokens for which it has credit,
+//! so that a flood of urgent work cannot take them. There is one bucket, so rate and burst are those of the limit.
 
 use std::time::Duration;
 
@@ -12,13 +12,17 @@
 use crate::model::Percent;
 use crate::time::Timestamp;
 
-/// Part of the common burst that standard work leaves to urgent work, in percent.
+/// Part of the burst that standard work leaves to urgent work, in percent.
 const STANDARD_LEAVES: u64 = 30;
 
-/// Part of the common burst that bulk work leaves to the other ranks, in percent.
+/// Part of the burst that bulk work leaves to the other ranks, in percent.
 const BULK_LEAVES: u64 = 60;
 
-/// Token buckets of one rate limit.
+/// Most credit that a rank keeps, in tokens. It needs one to take a token; a fraction more bridges the time until its next
+/// request without giving it a burst of its own.
+const CREDIT_MAX: f64 = 1.5;
+
+/// Token bucket of one rate limit.
 ///
 /// ```
 /// use std::time::Duration;
@@ -38,78 +42,75 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct RankedBucket {
-    common: TokenBucket,
-    /// Buckets of the floors, by [`Rank::index`]. That of urgent work is not used.
-    floors: [TokenBucket; 3],
-    parts: [Percent; 3],
-    burst: Duration,
-    per_second: u32,
+    bucket: TokenBucket,
+    floors: [Percent; 3],
+    /// Tokens that each rank may take of those that the others leave, by [`Rank::index`].
+    credit: [f64; 3],
+    credited: Timestamp,
 }
 
 impl RankedBucket {
-    /// Buckets with rate zero and without floors. Each stores at most the tokens of `burst` at its rate.
+    /// A bucket with rate zero and without floors. It stores at most the tokens of `burst` at its rate.
     pub fn new(now: Timestamp, burst: Duration) -> Self {
-        let bucket = || TokenBucket::new(now, burst);
         Self {
-            common: bucket(),
-            floors: [bucket(), bucket(), bucket()],
-            parts: [Percent(0); 3],
-            burst,
-            per_second: 0,
+            bucket: TokenBucket::new(now, burst),
+            floors: [Percent(0); 3],
+            credit: [0.0; 3],
+            credited: now,
         }
     }
 
-    /// Sets the floors of the ranks. They apply from the next change of the rate on.
+    /// Sets the floors of the ranks, as parts of the rate.
     pub fn set_floors(&mut self, floors: [Percent; 3]) {
-        if self.parts != floors {
-            self.parts = floors;
-            self.per_second = 0;
-        }
+        self.floors = floors;
     }
 
     /// Sets the rate of all ranks together, in units per second.
     pub fn set_rate(&mut self, now: Timestamp, per_second: u32) {
-        if per_second == self.per_second {
-            return;
-        }
-        self.per_second = per_second;
-        let mut common = per_second;
-        for rank in [Rank::Standard, Rank::Bulk] {
-            let part = u64::from(per_second) * u64::from(self.parts[rank.index()].0) / 100;
-            // A bucket stores at least one token. A floor that stores less would raise the burst of the limit.
-            let stores_a_token = part * u64::try_from(self.burst.as_millis()).unwrap_or(u64::MAX) >= 1_000;
-            let part = if stores_a_token { part } else { 0 };
-            let floor = u32::try_from(part).unwrap_or(u32::MAX).min(common);
-            self.floors[rank.index()].set_rate(now, floor);
-            common -= floor;
-        }
-        self.common.set_rate(now, common);
+        self.earn_credit(now);
+        self.bucket.set_rate(now, per_second);
     }
 
     /// Takes `units` tokens for a request of `rank`, or none.
     pub fn take(&mut self, now: Timestamp, rank: Rank, units: u32) -> bool {
-        if self.floors[rank.index()].take(now, units) || self.take_common(now, rank, units) {
-            return true;
+        self.earn_credit(now);
+        let i = rank.index();
+        let has_credit = self.credit[i] >= f64::from(units);
+        if !has_credit && !self.leaves_enough(now, rank, units) {
+            return false;
+        }
+        let taken = self.bucket.take(now, units);
+        if taken && has_credit {
+            self.credit[i] -= f64::from(units);
+        }
+        taken
+    }
+
+    /// Time until `units` tokens are stored if nobody takes any.
+    pub fn wait(&self, now: Timestamp, units: u32) -> Duration {
+        self.bucket.wait(now, units)
+    }
+
+    fn earn_credit(&mut self, now: Timestamp) {
+        let earned = f64::from(self.bucket.rate()) * now.since(self.credited).as_secs_f64();
+        self.credited = self.credited.max(now);
+        for (credit, floor) in self.credit.iter_mut().zip(self.floors) {
+            *credit = (*credit + earned * f64::from(floor.0) / 100.0).min(CREDIT_MAX);
         }
-        // A floor whose bucket is full is not in demand, and its tokens would be lost.
-        let others = Rank::ALL.into_iter().filter(|other| *other != rank);
-        others.into_iter().any(|other| {
-            let floor = &mut self.floors[other.index()];
-            floor.is_full(now) && floor.take(now, units)
-        })
     }
 
-    fn take_common(&mut self, now: Timestamp, rank: Rank, units: u32) -> bool {
+    /// Whether a request without credit leaves what higher ranks and the credit of the others need.
+    fn leaves_enough(&self, now: Timestamp, rank: Rank, units: u32) -> bool {
         let leaves = match rank {
             Rank::Urgent => 0,
             Rank::Standard => STANDARD_LEAVES,
             Rank::Bulk => BULK_LEAVES,
         };
-        self.common.fill_percent(now) > leaves && self.common.take(now, units)
-    }
-
-    /// Time until `units` tokens can be taken if nobody else takes any.
-    pub fn wait(&self, now: Timestamp, units: u32) -> Duration {
-        self.common.wait(now, units)
+        let others = Rank::ALL.into_iter().filter(|other| *other != rank);
+        let owed: f64 = others.map(|other| self.credit[other.index()].min(1.0)).sum();
+        // A bucket that stores few tokens would otherwise never give one to a rank without credit.
+        let owed = owed.min((self.bucket.most_stored() - f64::from(units)).max(0.0));
+        let stored = self.bucket.stored(now);
+        stored >= f64::from(units) + owed && self.bucket.fill_percent(now) > leaves
     }
 }
--- a/crates/state/tests/ranked.rs
+++ b/crates/state/tests/ranked.rs
@@ -47,11 +47,15 @@
 /// Guards against an urgent flood that takes the floors of the other ranks.
 #[test]
 fn lower_ranks_keep_their_floors_in_an_urgent_flood() {
-    let [urgent, standard, bulk] = served([10.0, 0.5, 0.5], RATE);
-    let rate = f64::from(RATE);
-    assert!(standard >= 0.10 * rate - 1.0, "standard {standard}");
-    assert!(bulk >= 0.05 * rate - 1.0, "bulk {bulk}");
-    assert!(urgent >= 0.80 * rate, "urgent {urgent}");
+    // 14 requests/s is the share of one of seven daemons of a contract for 100.
+    for rate in [RATE, 14] {
+        let [urgent, standard, bulk] = served([10.0, 0.5, 0.5], rate);
+        let rate = f64::from(rate);
+        assert!(standard >= 0.095 * rate, "standard {standard} of {rate}");
+        assert!(bulk >= 0.045 * rate, "bulk {bulk} of {rate}");
+        // One request of the whole run may fall to either side of its end.
+        assert!(urgent >= 0.80 * rate - 1.0 / f64::from(SECONDS), "urgent {urgent} of {rate}");
+    }
 }
 
 /// Guards against buckets that grant more than the rate together, and against floors that nobody uses being lost.
