--- a/crates/state/src/bucket.rs
+++ b/crates/state/src/bucket.rs
@@ -91,11 +91,6 @@
         self.capacity() as f64 / PARTS_PER_TOKEN as f64
     }
 
-    /// Stored tokens as a part of the burst, in percent.
-    pub fn fill_percent(&self, now: Timestamp) -> u64 {
-        (self.parts_at(now).saturating_mul(100)).checked_div(self.capacity()).unwrap_or(0)
-    }
-
     fn capacity(&self) -> u64 {
         if self.per_second == 0 {
             return 0;
--- a/crates/state/src/ranked.rs
+++ b/crates/state/src/ranked.rs
@@ -13,15 +13,19 @@
 use crate::time::Timestamp;
 
 /// Part of the burst that standard work leaves to urgent work, in percent.
-const STANDARD_LEAVES: u64 = 30;
+const STANDARD_LEAVES: f64 = 30.0;
 
 /// Part of the burst that bulk work leaves to the other ranks, in percent.
-const BULK_LEAVES: u64 = 60;
+const BULK_LEAVES: f64 = 60.0;
 
 /// Most credit that a rank keeps, in tokens. It needs one to take a token; a fraction more bridges the time until its next
 /// request without giving it a burst of its own.
 const CREDIT_MAX: f64 = 1.5;
 
+/// Time after a refusal in which the other ranks leave the tokens for which the refused rank has credit. Without demand,
+/// tokens that are left would only shorten the burst of the others.
+const REFUSED_FOR: Duration = Duration::from_secs(5);
+
 /// Token bucket of one rate limit.
 ///
 /// ```
@@ -47,6 +51,7 @@
     /// Tokens that each rank may take of those that the others leave, by [`Rank::index`].
     credit: [f64; 3],
     credited: Timestamp,
+    refused_at: [Option<Timestamp>; 3],
 }
 
 impl RankedBucket {
@@ -57,6 +62,7 @@
             floors: [Percent(0); 3],
             credit: [0.0; 3],
             credited: now,
+            refused_at: [None; 3],
         }
     }
 
@@ -76,13 +82,14 @@
         self.earn_credit(now);
         let i = rank.index();
         let has_credit = self.credit[i] >= f64::from(units);
-        if !has_credit && !self.leaves_enough(now, rank, units) {
-            return false;
-        }
-        let taken = self.bucket.take(now, units);
+        let may_take = has_credit || self.leaves_enough(now, rank, units);
+        let taken = may_take && self.bucket.take(now, units);
         if taken && has_credit {
             self.credit[i] -= f64::from(units);
         }
+        if !taken {
+            self.refused_at[i] = Some(now);
+        }
         taken
     }
 
@@ -102,15 +109,21 @@
     /// Whether a request without credit leaves what higher ranks and the credit of the others need.
     fn leaves_enough(&self, now: Timestamp, rank: Rank, units: u32) -> bool {
         let leaves = match rank {
-            Rank::Urgent => 0,
+            Rank::Urgent => 0.0,
             Rank::Standard => STANDARD_LEAVES,
             Rank::Bulk => BULK_LEAVES,
         };
         let others = Rank::ALL.into_iter().filter(|other| *other != rank);
-        let owed: f64 = others.map(|other| self.credit[other.index()].min(1.0)).sum();
+        let owed: f64 = others.map(|other| self.owed(now, other)).sum();
         // A bucket that stores few tokens would otherwise never give one to a rank without credit.
-        let owed = owed.min((self.bucket.most_stored() - f64::from(units)).max(0.0));
-        let stored = self.bucket.stored(now);
-        stored >= f64::from(units) + owed && self.bucket.fill_percent(now) > leaves
+        let spare = (self.bucket.most_stored() - f64::from(units)).max(0.0);
+        let left = (owed + leaves / 100.0 * self.bucket.most_stored()).min(spare);
+        self.bucket.stored(now) - f64::from(units) >= left
+    }
+
+    /// Tokens that the other ranks leave for `rank`.
+    fn owed(&self, now: Timestamp, rank: Rank) -> f64 {
+        let was_refused = self.refused_at[rank.index()].is_some_and(|at| now.since(at) < REFUSED_FOR);
+        if was_refused { self.credit[rank.index()].min(1.0) } else { 0.0 }
     }
 }
