Name a usable time when the rate of a contract refuses a request

Cause: found on the read-through. The wait was that of the whole bucket: zero when tokens are stored but left to higher ranks, so a flood of bulk work was told to return at once, and endless when the rate is zero. Ruled out: the queues' Retry-After, which is computed from the backlog. Change: the time is kept between 0.5 and 30 s. Conclusion: refused callers get a usable Retry-After.

--- a/crates/state/src/node/requests.rs
+++ b/crates/state/src/node/requests.rs
@@ -24,6 +24,9 @@
 /// Retry-After of refusals whose cause should be over soon.
 const RETRY_SOON: Duration = Duration::from_millis(500);
 
+/// Longest Retry-After of a rate limit. The share or the contract may change before a longer one.
+const RETRY_LATEST: Duration = Duration::from_secs(30);
+
 /// How an attempt ended, with what came back.
 #[derive(Debug)]
 pub(super) struct Ended {
@@ -117,7 +120,9 @@
         }
         let (key, rank) = (rate_key(&req.customer, &req.service), req.rank);
         if !self.limits.take(now, &mut self.ledger, &key, rank, 1) {
-            return Err(not_run(Reason::RateLimit, Some(self.limits.wait(now, &key, 1))));
+            // Tokens that are left to other ranks make the wait zero, and a rate of zero makes it endless.
+            let wait = self.limits.wait(now, &key, 1).clamp(RETRY_SOON, RETRY_LATEST);
+            return Err(not_run(Reason::RateLimit, Some(wait)));
         }
         Ok(deadline)
     }
@@ -329,7 +334,6 @@
         match svc.admission.offer(now, ticket, slots) {
             Offered::Queued => self.start_service(now, &service, out),
             Offered::Refused { retry_after, .. } => {
-                svc.refused += 1;
                 self.refuse(now, id, not_run(Reason::Overloaded, Some(retry_after)), out);
                 self.seek_loans(now, &service, out);
             }
--- a/crates/state/src/node/service.rs
+++ b/crates/state/src/node/service.rs
@@ -57,7 +57,6 @@
     pub(super) denied: BTreeMap<NodeId, Timestamp>,
     pub(super) response_bytes: u32,
     pub(super) running: u32,
-    pub(super) refused: u32,
     retry_credit: u32,
 }
 
@@ -75,7 +74,6 @@
             denied: BTreeMap::new(),
             response_bytes: INITIAL_RESPONSE_BYTES,
             running: 0,
-            refused: 0,
             retry_credit: RETRY_CREDIT_MAX,
         }
     }
