Wait for the first status of a daemon in the process tests

Cause: the whole check failed once: a restarted daemon refused a request as deadline-before-start. The readiness check took the empty status of the first 100 ms, before any line exists, for a daemon that starts requests. Ruled out: the change to Retry-After, which this request does not reach. Change: a daemon is ready when its status says send and none of its lines says no-slots; the check is stricter than before. Conclusion: the verdict no longer depends on the time of the first look.

--- a/crates/daemons/tests/common/mod.rs
+++ b/crates/daemons/tests/common/mod.rs
@@ -198,7 +198,9 @@
                 let agreed = in_force.members.iter().filter(|m| m.in_force && m.liveness == "alive").count();
                 let has_slots = report.limits.iter().any(|l| l.key.starts_with("slots/") && l.usable > 0);
                 // A daemon that has just started gives no work to backend servers that may be leaving.
-                let starts = !self.get_text(node, "/status").await?.contains("no-slots");
+                let status = self.get_text(node, "/status").await?;
+                // Before its first refresh the status has no lines at all.
+                let starts = status.contains(" send ") && !status.contains("no-slots");
                 (agreed >= count && has_slots && starts).then_some(())
             };
             wait_for(&format!("daemon {node} is ready"), ready).await;
