Serve requests on the users' platform through a gateway and an adapter

Cause: the present daemon speaks its own interface only; the users' platform has other requests, a store with transactions and leases, and routes by host and path.

Change: `state::steering` decides where each proxied request goes (routes by longest prefix, rendezvous affinity, load estimate, slow start of cold servers, retry budget, shift bound, queue by urgency, refusal at once with Retry-After). `crates/gateway` is the daemon around it: hyper on both sides, pool, directory, membership by lease, one watch on the key-value service. `platform/` translates headers, entries and the store's calls. The INI reader of the settings is now shared by both daemons.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod health;
 pub mod http;
+pub mod ini_reader;
 pub mod log;
 pub mod metrics;
 pub mod ops;
--- a/crates/coordination/src/log.rs
+++ b/crates/coordination/src/log.rs
@@ -13,6 +13,12 @@
 
 /// A logger that writes without blocking. The log ends with the last copy of the returned guard.
 pub fn logger(node: NodeId, level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
+    let (log, guard) = unnamed_logger(level);
+    (log.new(o!("node" => node.0)), guard)
+}
+
+/// A logger as [`logger`] makes it, without the name of a daemon.
+pub fn unnamed_logger(level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
     let json = slog_json::Json::default(io::stdout()).fuse();
     let (drain, guard) = slog_async::Async::new(json).chan_size(QUEUE_LINES).build_with_guard();
     let level = match level {
@@ -22,5 +28,5 @@
         LogLevel::Debug => Level::Debug,
     };
     let drain = LevelFilter::new(drain.fuse(), level).fuse();
-    (Logger::root(drain, o!("node" => node.0)), guard)
+    (Logger::root(drain, o!()), guard)
 }
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -3,18 +3,20 @@
 //! A file is checked in full: all faults are listed at once with section and key, and unknown keys are refused, since a
 //! misspelt key would otherwise be ignored in silence.
 
-use std::collections::BTreeSet;
 use std::fmt;
+use std::fs;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
-use std::{fs, io};
 
 use derive_more::{Display, Error};
 use ini::Ini;
 use medlarstair_protocol::key::KeyRing;
 use medlarstair_state::id::{Domain, NodeId, Region};
 
+use crate::ini_reader::IniReader;
+pub use crate::ini_reader::{Fault, SettingsError};
+
 /// Most threads that serve callers.
 const HTTP_WORKERS_MAX: usize = 64;
 
@@ -128,50 +130,6 @@
     }
 }
 
-/// One fault of a settings file.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-#[display("[{section}] {key}: {problem}")]
-pub struct Fault {
-    section: Box<str>,
-    key: Box<str>,
-    problem: Box<str>,
-}
-
-/// The settings are not valid.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    File {
-        /// The file.
-        path: PathBuf,
-        /// Why not.
-        source: io::Error,
-    },
-    /// The file is not an INI file.
-    Syntax {
-        /// What is wrong.
-        source: ini::ParseError,
-    },
-    /// Values are missing, wrong or unknown.
-    Faults(#[error(not(source))] Vec<Fault>),
-}
-
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::File { path, source } => write!(f, "cannot read {}: {source}", path.display()),
-            Self::Syntax { source } => write!(f, "not an INI file: {source}"),
-            Self::Faults(faults) => {
-                write!(f, "{} fault(s)", faults.len())?;
-                for fault in faults {
-                    write!(f, "\n  {fault}")?;
-                }
-                Ok(())
-            }
-        }
-    }
-}
-
 impl Settings {
     /// Reads and checks a settings file and the key files that it names. Relative paths start at its folder.
     ///
@@ -191,45 +149,41 @@
     /// [`SettingsError`] with every fault that was found.
     pub fn parse(text: &str, folder: &Path) -> Result<Self, SettingsError> {
         let ini = Ini::load_from_str(text).map_err(|source| SettingsError::Syntax { source })?;
-        let mut reader = Reader::new(&ini, folder);
+        let mut reader = Reader { ini: IniReader::new(&ini), folder };
         let settings = reader.settings();
-        reader.refuse_unknown();
-        match settings {
-            Some(settings) if reader.faults.is_empty() => Ok(settings),
-            _ => Err(SettingsError::Faults(reader.faults)),
-        }
+        reader.ini.finish(settings)
     }
 }
 
+/// Reads the sections of a daemon's file. Relative paths start at `folder`.
 struct Reader<'a> {
-    ini: &'a Ini,
+    ini: IniReader<'a>,
     folder: &'a Path,
-    known: BTreeSet<(&'static str, &'static str)>,
-    faults: Vec<Fault>,
 }
 
-impl<'a> Reader<'a> {
-    fn new(ini: &'a Ini, folder: &'a Path) -> Self {
-        Self { ini, folder, known: BTreeSet::new(), faults: Vec::new() }
-    }
-
+impl Reader<'_> {
     fn settings(&mut self) -> Option<Settings> {
         // Every value is read before any is required, so that all faults are found.
-        let node = self.required("node", "id");
-        let region = self.required("node", "region");
-        let domain = self.required("node", "domain");
-        let http = self.required("listen", "http");
-        let peer = self.required("listen", "peer");
-        let source = self.optional("listen", "source");
+        let node = self.ini.required("node", "id");
+        let region = self.ini.required("node", "region");
+        let domain = self.ini.required("node", "domain");
+        let http = self.ini.required("listen", "http");
+        let peer = self.ini.required("listen", "peer");
+        let source = self.ini.optional("listen", "source");
         let http_workers = self.http_workers();
-        let store = self.url("platform", "store");
-        let has_vms = self.ini.get_from(Some("platform"), "vms").is_some();
-        let vms = self.known_key("platform", "vms").is_some().then(|| self.url("platform", "vms")).flatten();
+        let store = self.ini.url("platform", "store");
+        let has_vms = self.ini.is_given("platform", "vms");
+        let vms = self
+            .ini
+            .known_key("platform", "vms")
+            .is_some()
+            .then(|| self.ini.url("platform", "vms"))
+            .flatten();
         let seeds = self.seeds();
         let keys = self.file("security", "key_file", |text| KeyRing::parse(text).map_err(|e| e.to_string()));
         let operator_token = self.file("security", "operator_token_file", parse_token);
-        let log_level = self.optional("log", "level").unwrap_or(LogLevel::Info);
-        let trace_file = self.known_key("log", "trace_file").map(|p| self.folder.join(p));
+        let log_level = self.ini.optional("log", "level").unwrap_or(LogLevel::Info);
+        let trace_file = self.ini.known_key("log", "trace_file").map(|p| self.folder.join(p));
         if has_vms && vms.is_none() {
             return None;
         }
@@ -251,62 +205,23 @@
         })
     }
 
-    fn known_key(&mut self, section: &'static str, key: &'static str) -> Option<&'a str> {
-        self.known.insert((section, key));
-        self.ini.get_from(Some(section), key)
-    }
-
-    fn fault(&mut self, section: &str, key: &str, problem: impl ToString) {
-        let problem = problem.to_string().into();
-        self.faults.push(Fault { section: section.into(), key: key.into(), problem });
-    }
-
-    fn optional<T: FromStr<Err: ToString>>(&mut self, section: &'static str, key: &'static str) -> Option<T> {
-        let text = self.known_key(section, key)?;
-        match text.parse() {
-            Ok(value) => Some(value),
-            Err(e) => {
-                self.fault(section, key, format!("{text:?}: {}", e.to_string()));
-                None
-            }
-        }
-    }
-
-    fn required<T: FromStr<Err: ToString>>(&mut self, section: &'static str, key: &'static str) -> Option<T> {
-        if self.known_key(section, key).is_none() {
-            self.fault(section, key, "is missing");
-            return None;
-        }
-        self.optional(section, key)
-    }
-
     fn http_workers(&mut self) -> usize {
-        let workers = self.optional("listen", "http_workers").unwrap_or(2);
+        let workers = self.ini.optional("listen", "http_workers").unwrap_or(2);
         if !(1..=HTTP_WORKERS_MAX).contains(&workers) {
-            self.fault("listen", "http_workers", format!("must be 1 to {HTTP_WORKERS_MAX}"));
+            self.ini.fault("listen", "http_workers", format!("must be 1 to {HTTP_WORKERS_MAX}"));
         }
         workers
     }
 
-    fn url(&mut self, section: &'static str, key: &'static str) -> Option<Box<str>> {
-        let text = self.required::<String>(section, key)?;
-        let host = text.strip_prefix("http://").map(|rest| rest.split('/').next().unwrap_or(""));
-        if host.is_none_or(|host| host.parse::<SocketAddr>().is_err()) {
-            self.fault(section, key, format!("{text:?}: use http://<address>:<port>"));
-            return None;
-        }
-        Some(text.into())
-    }
-
     fn seeds(&mut self) -> Vec<Seed> {
-        let Some(text) = self.known_key("peers", "seeds") else {
+        let Some(text) = self.ini.known_key("peers", "seeds") else {
             return Vec::new();
         };
         let mut seeds = Vec::new();
         for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
             match part.parse() {
                 Ok(seed) => seeds.push(seed),
-                Err(e) => self.fault("peers", "seeds", format!("{part:?}: {e}")),
+                Err(e) => self.ini.fault("peers", "seeds", format!("{part:?}: {e}")),
             }
         }
         seeds
@@ -318,38 +233,17 @@
         key: &'static str,
         parse: impl Fn(&str) -> Result<T, String>,
     ) -> Option<T> {
-        let path = self.folder.join(self.required::<String>(section, key)?);
+        let path = self.folder.join(self.ini.required::<String>(section, key)?);
         let parsed = fs::read_to_string(&path).map_err(|e| e.to_string()).and_then(|text| parse(&text));
         match parsed {
             Ok(value) => Some(value),
             Err(e) => {
                 // The value is not shown: somebody may have put the secret itself in place of the name of its file.
-                self.fault(section, key, format!("the file that it names: {e}"));
+                self.ini.fault(section, key, format!("the file that it names: {e}"));
                 None
             }
         }
     }
-
-    /// Refuses unknown keys, and what would be ignored because only the first section of a name and the first key of a
-    /// name are read.
-    fn refuse_unknown(&mut self) {
-        let ini = self.ini;
-        let mut sections = BTreeSet::new();
-        for (section, properties) in ini.iter() {
-            let section = section.unwrap_or("");
-            let is_first = sections.insert(section);
-            let mut keys = BTreeSet::new();
-            for (key, _) in properties.iter() {
-                if !self.known.iter().any(|(s, k)| *s == section && *k == key) {
-                    self.fault(section, key, "is not known");
-                } else if !is_first {
-                    self.fault(section, key, "is in a second section of the same name");
-                } else if !keys.insert(key) {
-                    self.fault(section, key, "is given more than once");
-                }
-            }
-        }
-    }
 }
 
 fn parse_token(text: &str) -> Result<OperatorToken, String> {
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,172 @@
+//! Settings of a gateway daemon, read from an INI file.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use ini::Ini;
+use medlarstair_coordination::ini_reader::{IniReader, SettingsError};
+use medlarstair_coordination::settings::LogLevel;
+use medlarstair_state::id::{Domain, Region};
+use medlarstair_state::steering::SteeringConfig;
+use medlarstair_state::steering::engine::RoundTrips;
+use medlarstair_state::steering::retries::RetryLimits;
+
+/// Settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Name of the daemon, unique in the deployment.
+    pub name: Box<str>,
+    /// Its region.
+    pub region: Region,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Region of each failure domain.
+    pub domains: BTreeMap<Domain, Region>,
+    /// Where callers send requests.
+    pub callers: SocketAddr,
+    /// Where the platform asks for readiness.
+    pub ready: SocketAddr,
+    /// Where callers look up daemons.
+    pub directory: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the platform's key-value service.
+    pub store: SocketAddr,
+    /// Time from the request to stop to the end of the process.
+    pub grace: Duration,
+    /// Largest change of the part of requests that a region serves, from one window to the next.
+    pub max_shift: f64,
+    /// Bound on repeated sends.
+    pub retries: RetryLimits,
+    /// Factor on the request rate of cold servers.
+    pub cold_overrun: f64,
+    /// Requests per second to a cold server beyond its rate.
+    pub cold_slack: f64,
+    /// Level of the log.
+    pub log_level: LogLevel,
+}
+
+/// The text is not a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a time is a number with its unit, ms or s")]
+pub struct SpanError;
+
+/// A time as text: a number with the unit `ms` or `s`.
+///
+/// ```
+/// use std::time::Duration;
+/// use medlarstair_gateway::config::Span;
+/// assert_eq!("2.5s".parse(), Ok(Span(Duration::from_millis(2500))));
+/// assert_eq!("40ms".parse(), Ok(Span(Duration::from_millis(40))));
+/// assert!("40".parse::<Span>().is_err());
+/// assert!("-1s".parse::<Span>().is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span(pub Duration);
+
+impl FromStr for Span {
+    type Err = SpanError;
+
+    fn from_str(s: &str) -> Result<Self, SpanError> {
+        let (number, scale) = match s.strip_suffix("ms") {
+            Some(number) => (number, 0.001),
+            None => (s.strip_suffix('s').ok_or(SpanError)?, 1.0),
+        };
+        let number: f64 = number.parse().map_err(|_| SpanError)?;
+        Duration::try_from_secs_f64(number * scale).map(Self).map_err(|_| SpanError)
+    }
+}
+
+impl Config {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault that was found.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text =
+            fs::read_to_string(path).map_err(|source| SettingsError::File { path: path.into(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault that was found.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(text).map_err(|source| SettingsError::Syntax { source })?;
+        let mut reader = IniReader::new(&ini);
+        let config = read_config(&mut reader);
+        reader.finish(config)
+    }
+
+    /// Settings of the steering logic.
+    pub fn steering(&self) -> SteeringConfig {
+        SteeringConfig {
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+            max_shift: self.max_shift,
+            retries: self.retries,
+            cold_overrun: self.cold_overrun,
+            cold_slack: self.cold_slack,
+            round_trips: RoundTrips::default(),
+        }
+    }
+}
+
+fn read_config(r: &mut IniReader<'_>) -> Option<Config> {
+    // Every value is read before any is required, so that all faults are found.
+    let name = r.required::<String>("node", "name");
+    let region = r.required("node", "region");
+    let domain = r.required("node", "domain");
+    let domains = read_domains(r);
+    let callers = r.required("listen", "callers");
+    let ready = r.required("listen", "ready");
+    let directory = r.optional("listen", "directory");
+    let metrics = r.optional("listen", "metrics");
+    let store = r.required("platform", "store");
+    let grace = r.required::<Span>("limits", "grace");
+    let max_shift = r.required("limits", "max_shift");
+    let ratio = r.required("limits", "retry_ratio");
+    let window = r.required::<Span>("limits", "retry_window");
+    let slack = r.required("limits", "retry_slack");
+    let cold_overrun = r.required("limits", "cold_overrun");
+    let cold_slack = r.required("limits", "cold_slack");
+    let log_level = r.optional("log", "level").unwrap_or(LogLevel::Info);
+    Some(Config {
+        name: name?.into(),
+        region: region?,
+        domain: domain?,
+        domains,
+        callers: callers?,
+        ready: ready?,
+        directory,
+        metrics,
+        store: store?,
+        grace: grace?.0,
+        max_shift: max_shift?,
+        retries: RetryLimits { ratio: ratio?, window: window?.0, slack: slack? },
+        cold_overrun: cold_overrun?,
+        cold_slack: cold_slack?,
+        log_level,
+    })
+}
+
+fn read_domains(r: &mut IniReader<'_>) -> BTreeMap<Domain, Region> {
+    let mut domains = BTreeMap::new();
+    for (domain, region) in r.open_section("domains") {
+        match (domain.parse(), region.parse()) {
+            (Ok(domain), Ok(region)) => {
+                domains.insert(domain, region);
+            }
+            (Err(e), _) | (_, Err(e)) => r.fault("domains", domain, e),
+        }
+    }
+    domains
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,143 @@
+//! Puts the parts of a daemon together.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Handler};
+use medlarstair_coordination::timer::{Subscribe, Ticked, TimerService};
+use medlarstair_transport::kv::RenewableStore;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::config::Config;
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::eventlog::EventLog;
+use crate::ingress::{self, Role};
+use crate::membership::keep_entry;
+use crate::metrics::Metrics;
+use crate::probe;
+use crate::sync::Follower;
+
+/// Period of regular work.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+
+/// Time before the end of the grace period at which the process ends whatever is still open.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time for which a stopping daemon accepts connections of callers that still use an older look-up.
+const STOP_LISTEN: Duration = Duration::from_millis(3_500);
+
+/// Time between checks whether all connections have ended.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Regular work of a daemon.
+struct Housekeeper<D: Dialect> {
+    core: Rc<Core<D>>,
+    follower: Rc<Follower>,
+}
+
+impl<D: Dialect> Actor for Housekeeper<D> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        let subscribe = Subscribe { subscriber: cx.address().recipient(), period: HOUSEKEEPING };
+        TimerService.start().do_send(subscribe);
+    }
+}
+
+impl<D: Dialect> Handler<Ticked> for Housekeeper<D> {
+    type Result = ();
+
+    fn handle(&mut self, Ticked: Ticked, _: &mut Self::Context) {
+        let now = self.core.now();
+        self.follower.settle_doubts(&self.core);
+        self.core.steering.borrow_mut().tick(now);
+        self.core.pool.borrow_mut().expire(now);
+        self.core.release();
+        probe::start_due(&self.core);
+    }
+}
+
+/// Runs a daemon until a planned stop is complete. Must run inside an actix system. `path` is the settings file, which
+/// is read again on SIGHUP.
+///
+/// # Errors
+///
+/// Any I/O error at start, for example an address that is in use.
+pub async fn run<D: Dialect, S: RenewableStore + 'static>(
+    cfg: Config,
+    path: PathBuf,
+    dialect: D,
+    store: S,
+    log: Logger,
+) -> io::Result<()> {
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let grace = cfg.grace;
+    let core = Core::new(cfg, dialect, metrics, EventLog::new(log.clone()));
+    listen(&core).await?;
+    slog::info!(log, "started"; "code" => 1, "callers" => %core.cfg.callers);
+    let (store, regained, follower) = (Rc::new(store), Rc::new(Notify::new()), Rc::new(Follower::default()));
+    let keeper = actix_rt::spawn(keep_entry(Rc::clone(&core), Rc::clone(&store), Rc::clone(&regained)));
+    {
+        let (core, follower) = (Rc::clone(&core), Rc::clone(&follower));
+        actix_rt::spawn(async move { follower.run(core, store, regained).await });
+    }
+    Housekeeper { core: Rc::clone(&core), follower }.start();
+    actix_rt::spawn(reload_on_hangup(Rc::clone(&core), path, signal(SignalKind::hangup())?));
+    signal(SignalKind::terminate())?.recv().await;
+    stop(&core, grace).await;
+    keeper.abort();
+    slog::info!(log, "stopped"; "code" => 3, "connections" => core.active());
+    Ok(())
+}
+
+/// Writes why a daemon could not run.
+pub fn log_failure(log: &Logger, e: &io::Error) {
+    slog::error!(log, "the daemon ends"; "code" => 900, "cause" => %e);
+}
+
+async fn listen<D: Dialect>(core: &Rc<Core<D>>) -> io::Result<()> {
+    let mut listeners: Vec<(SocketAddr, Role)> =
+        vec![(core.cfg.callers, Role::Callers), (core.cfg.ready, Role::Own)];
+    listeners.extend(core.cfg.directory.map(|address| (address, Role::Own)));
+    listeners.extend(core.cfg.metrics.map(|address| (address, Role::Metrics)));
+    for (address, role) in listeners {
+        let listener = TcpListener::bind(address).await?;
+        actix_rt::spawn(ingress::serve(Rc::clone(core), listener, role));
+    }
+    Ok(())
+}
+
+/// Finishes what was begun. Callers learn from the directory that the daemon leaves; those that hold an older look-up
+/// are served for a while.
+async fn stop<D: Dialect>(core: &Core<D>, grace: Duration) {
+    let begun = Instant::now();
+    slog::info!(core.events.logger(), "stopping"; "code" => 2, "connections" => core.active());
+    core.stop();
+    let end = begun + grace.saturating_sub(STOP_MARGIN);
+    sleep_until((begun + STOP_LISTEN).min(end)).await;
+    while core.active() > 0 && Instant::now() < end {
+        sleep(STOP_CHECK).await;
+    }
+}
+
+async fn reload_on_hangup<D: Dialect>(core: Rc<Core<D>>, path: PathBuf, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match Config::read(&path) {
+            Ok(cfg) => {
+                core.steering.borrow_mut().reconfigure(cfg.steering());
+                slog::info!(core.events.logger(), "settings reloaded"; "code" => 4);
+            }
+            Err(e) => {
+                slog::warn!(core.events.logger(), "settings not reloaded"; "code" => 902, "cause" => %e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/eventlog.rs
@@ -0,0 +1,73 @@
+//! Numbered events on standard output, bounded in volume.
+//!
+//! Requests may fail much faster than a log can be read. Each kind of line has a budget a second; what exceeds it is
+//! counted and told once a second, so that a flood of one kind hides neither itself nor the others.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use medlarstair_coordination::log::unnamed_logger;
+use medlarstair_coordination::settings::LogLevel;
+use medlarstair_state::time::Timestamp;
+use slog::{Logger, o};
+
+/// Lines of one event per second.
+const LINES_PER_SECOND: u32 = 20;
+
+/// Window of the budget.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// A logger of a daemon that writes without blocking. The log ends with the last copy of the returned guard.
+pub fn logger(name: &str, level: LogLevel) -> (Logger, slog_async::AsyncGuard) {
+    let (log, guard) = unnamed_logger(level);
+    (log.new(o!("daemon" => name.to_owned())), guard)
+}
+
+/// Number of an event; the catalogue lists them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EventCode(pub u16);
+
+#[derive(Debug, Clone, Copy)]
+struct Budget {
+    since: Timestamp,
+    lines: u32,
+    omitted: u64,
+}
+
+/// The log of a daemon.
+#[derive(Debug)]
+pub struct EventLog {
+    log: Logger,
+    budgets: RefCell<BTreeMap<EventCode, Budget>>,
+}
+
+impl EventLog {
+    /// A log that writes to `log`.
+    pub fn new(log: Logger) -> Self {
+        Self { log, budgets: RefCell::default() }
+    }
+
+    /// The logger, for lines that are always written.
+    pub fn logger(&self) -> &Logger {
+        &self.log
+    }
+
+    /// The logger if the event may be written now. Lines that were left out before are told first.
+    pub fn admit(&self, now: Timestamp, code: EventCode) -> Option<&Logger> {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(code).or_insert(Budget { since: now, lines: 0, omitted: 0 });
+        if now.since(budget.since) >= WINDOW {
+            if budget.omitted > 0 {
+                slog::warn!(self.log, "lines were left out"; "code" => 920, "of" => code.0, "lines" => budget.omitted);
+            }
+            *budget = Budget { since: now, lines: 0, omitted: 0 };
+        }
+        if budget.lines >= LINES_PER_SECOND {
+            budget.omitted += 1;
+            return None;
+        }
+        budget.lines += 1;
+        Some(&self.log)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/membership.rs
@@ -0,0 +1,157 @@
+//! The daemons of a deployment.
+//!
+//! Each daemon keeps an entry in the key-value service under a lease, so that the entry of a daemon that dies is deleted
+//! by the service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use medlarstair_state::id::{Domain, Region};
+use medlarstair_transport::kv::{Expect, LeaseId, RenewableStore, Unavailable, Written};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use crate::config::Config;
+use crate::core::{Core, Phase};
+use crate::dialect::Dialect;
+
+/// Beginning of the keys of daemons.
+pub const MEMBER_PREFIX: &str = "medlarstair/daemon/";
+
+/// Time after which the entry of a silent daemon is deleted.
+const LEASE_TTL: Duration = Duration::from_millis(3_000);
+
+/// Time between renewals. Two may be lost.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
+
+/// Time for an answer to a renewal.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time for which an answer of the directory may be kept.
+pub const LOOKUP_TTL: Duration = Duration::from_secs(1);
+
+/// Most addresses in an answer of the directory.
+const LOOKUP_ADDRESSES: usize = 64;
+
+/// A daemon of the deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Region.
+    pub region: Region,
+    /// Failure domain.
+    pub domain: Domain,
+}
+
+/// The daemons that are known to live.
+#[derive(Debug, Clone)]
+pub struct Members {
+    own_name: Box<str>,
+    own: Member,
+    others: BTreeMap<Box<str>, Member>,
+}
+
+impl Members {
+    /// Only the own daemon.
+    pub fn new(cfg: &Config) -> Self {
+        let own = Member { callers: cfg.callers, region: cfg.region.clone(), domain: cfg.domain.clone() };
+        Self { own_name: cfg.name.clone(), own, others: BTreeMap::new() }
+    }
+
+    /// Takes an entry; `None` if it is gone or unreadable.
+    pub fn apply(&mut self, name: &str, member: Option<Member>) {
+        match member {
+            _ if *name == *self.own_name => {}
+            Some(member) => {
+                self.others.insert(name.into(), member);
+            }
+            None => {
+                self.others.remove(name);
+            }
+        }
+    }
+
+    /// Names of the others.
+    pub fn names(&self) -> Vec<Box<str>> {
+        self.others.keys().cloned().collect()
+    }
+
+    /// Daemons in all, and in the own region, the own one included.
+    pub fn counts(&self) -> (usize, usize) {
+        let near = self.others.values().filter(|m| m.region == self.own.region).count();
+        (self.others.len() + 1, near + 1)
+    }
+
+    /// The daemons that a caller uses: those of its region, else all. `own_ready` tells whether the own one is named.
+    pub fn lookup(&self, region: Option<&Region>, own_ready: bool) -> Vec<SocketAddr> {
+        let own = own_ready.then_some(&self.own);
+        let all = || own.into_iter().chain(self.others.values());
+        let near: Vec<SocketAddr> =
+            all().filter(|m| region.is_none_or(|r| m.region == *r)).map(|m| m.callers).collect();
+        let chosen = if near.is_empty() { all().map(|m| m.callers).collect() } else { near };
+        chosen.into_iter().take(LOOKUP_ADDRESSES).collect()
+    }
+}
+
+/// Keeps the entry of the own daemon until it stops. `regained` is told when the service answers again.
+pub async fn keep_entry<D: Dialect, S: RenewableStore>(
+    core: Rc<Core<D>>,
+    store: Rc<S>,
+    regained: Rc<Notify>,
+) {
+    let mut lease = None;
+    let mut failing = false;
+    while core.phase() == Phase::Serving {
+        let renewed = match timeout(RENEWAL_TIMEOUT, renew(&core, &*store, lease)).await {
+            Ok(Ok(id)) => {
+                lease = Some(id);
+                true
+            }
+            Ok(Err(_)) | Err(_) => false,
+        };
+        if renewed && failing {
+            slog::info!(core.events.logger(), "key-value service answers again"; "code" => 911);
+            regained.notify_waiters();
+        }
+        if !renewed && !failing {
+            slog::warn!(core.events.logger(), "key-value service does not answer"; "code" => 910);
+        }
+        failing = !renewed;
+        tokio::select! {
+            () = sleep(RENEWAL_PERIOD) => {}
+            () = core.stopping.notified() => {}
+        }
+    }
+    if let Some(lease) = lease
+        && let Err(e) = store.end_lease(lease).await
+    {
+        slog::warn!(core.events.logger(), "own entry was not deleted"; "code" => 912, "cause" => %e);
+    }
+}
+
+/// Renews the lease, or creates it with the entry.
+async fn renew<D: Dialect, S: RenewableStore>(
+    core: &Core<D>,
+    store: &S,
+    lease: Option<LeaseId>,
+) -> Result<LeaseId, Unavailable> {
+    if let Some(lease) = lease
+        && store.keep_lease(lease).await?
+    {
+        return Ok(lease);
+    }
+    let lease = store.grant_lease(LEASE_TTL).await?;
+    let key = format!("{MEMBER_PREFIX}{}", core.cfg.name);
+    let own = core.members.borrow().own.clone();
+    let value = serde_json::to_string(&own).map_err(Unavailable::new)?;
+    match store.put(&key, &value, Expect::Any, Some(lease)).await {
+        Written::Done(_) => Ok(lease),
+        Written::Conflict(_) | Written::Rejected | Written::Unknown => {
+            Err(Unavailable::new("the own entry was not written"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,57 @@
+//! Counters and histograms in the Prometheus text format.
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// Counters and histograms of a daemon. Labels are routes and services of the configuration and fixed outcomes, so that
+/// their number is bounded.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Finished requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time from the arrival of a request to its answer by route.
+    pub latency: HistogramVec,
+    /// Sends to backend servers by service and outcome.
+    pub sends: IntCounterVec,
+    /// Connections opened to backend servers by service.
+    pub connections: IntCounterVec,
+}
+
+impl Metrics {
+    /// Metrics that count from zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is not valid or taken.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let requests = counter("medlarstair_requests_total", "Finished requests", &["route", "outcome"])?;
+        let sends = counter("medlarstair_sends_total", "Sends to backend servers", &["service", "outcome"])?;
+        let connections =
+            counter("medlarstair_connections_total", "Connections opened to backend servers", &["service"])?;
+        let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        let latency = HistogramVec::new(opts, &["route"])?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self { registry, requests, latency, sends, connections })
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be written as text.
+    pub fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync.rs
@@ -0,0 +1,213 @@
+//! Follows the key-value service: configuration, backend servers, evacuations and daemons.
+//!
+//! One listing and then one watch cover everything. An older revision of a key never replaces a newer one.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use medlarstair_state::config::Entry;
+use medlarstair_state::id::{Backend, Revision};
+use medlarstair_state::time::Timestamp;
+use medlarstair_transport::kv::{Listing, Store, Unavailable};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::core::Core;
+use crate::dialect::{Change, Dialect};
+use crate::membership::MEMBER_PREFIX;
+
+/// Longest wait of a watch. Each is a priced call.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause between watches that bring changes, so that changes in quick succession cost one call.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// First pause after a failed call; doubled with each further one.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// Time after a failure of the service for which the deletion of a server's entry is doubted.
+const DOUBT: Duration = Duration::from_secs(4);
+
+/// Time within which a server that lives has its entry back after an outage of the service.
+const RESTORED_WITHIN: Duration = Duration::from_millis(2_200);
+
+/// Beliefs that come from the key-value service.
+#[derive(Debug, Default)]
+pub struct Follower {
+    revisions: RefCell<BTreeMap<Box<str>, Revision>>,
+    failed: RefCell<Option<Timestamp>>,
+    doubted: RefCell<BTreeMap<Backend, Timestamp>>,
+}
+
+impl Follower {
+    /// Follows the service until the daemon ends. `regained` tells that the service answers again, so that a watch which
+    /// hangs is asked anew.
+    pub async fn run<D: Dialect, S: Store>(&self, core: Rc<Core<D>>, store: Rc<S>, regained: Rc<Notify>) {
+        let mut pause = RETRY_MIN;
+        loop {
+            match self.list_all(&core, &*store).await {
+                Ok(mut after) => {
+                    pause = RETRY_MIN;
+                    self.watch(&core, &*store, &regained, &mut after).await;
+                }
+                Err(e) => {
+                    self.note_failure(&core, &e);
+                    sleep(pause).await;
+                    pause = (pause * 2).min(RETRY_MAX);
+                }
+            }
+        }
+    }
+
+    async fn list_all<D: Dialect, S: Store>(
+        &self,
+        core: &Core<D>,
+        store: &S,
+    ) -> Result<Revision, Unavailable> {
+        let listing = store.list("").await?;
+        let present: BTreeSet<&str> = listing.entries.iter().map(|e| &*e.key).collect();
+        let gone: Vec<Box<str>> =
+            self.revisions.borrow().keys().filter(|k| !present.contains(&***k)).cloned().collect();
+        for key in gone {
+            self.apply(core, Entry { key, revision: listing.revision, value: None });
+        }
+        let revision = listing.revision;
+        self.apply_all(core, listing);
+        Ok(revision)
+    }
+
+    /// Watches until the history is lost.
+    async fn watch<D: Dialect, S: Store>(
+        &self,
+        core: &Core<D>,
+        store: &S,
+        regained: &Notify,
+        after: &mut Revision,
+    ) {
+        let mut pause = RETRY_MIN;
+        loop {
+            let watched = tokio::select! {
+                watched = store.watch("", *after, WATCH_WAIT) => watched,
+                () = regained.notified() => {
+                    self.note_trouble(core.now());
+                    continue;
+                }
+            };
+            match watched {
+                Ok(listing) => {
+                    pause = RETRY_MIN;
+                    *after = listing.revision.max(*after);
+                    let is_change = !listing.entries.is_empty();
+                    self.apply_all(core, listing);
+                    if is_change {
+                        sleep(GATHER).await;
+                    }
+                }
+                Err(e) => {
+                    self.note_failure(core, &e);
+                    if e.is_history_lost() {
+                        return;
+                    }
+                    sleep(pause).await;
+                    pause = (pause * 2).min(RETRY_MAX);
+                }
+            }
+        }
+    }
+
+    fn note_failure<D: Dialect>(&self, core: &Core<D>, e: &Unavailable) {
+        let now = core.now();
+        self.note_trouble(now);
+        if let Some(log) = core.events.admit(now, crate::eventlog::EventCode(913)) {
+            slog::warn!(log, "call to the key-value service failed"; "code" => 913, "cause" => %e);
+        }
+    }
+
+    fn note_trouble(&self, now: Timestamp) {
+        *self.failed.borrow_mut() = Some(now);
+    }
+
+    fn apply_all<D: Dialect>(&self, core: &Core<D>, listing: Listing) {
+        for entry in listing.entries {
+            self.apply(core, entry);
+        }
+        let counts = core.members.borrow().counts();
+        core.steering.borrow_mut().set_daemons(core.now(), counts.0, counts.1);
+        core.release();
+    }
+
+    fn apply<D: Dialect>(&self, core: &Core<D>, entry: Entry) {
+        let held = self.revisions.borrow().get(&entry.key).copied();
+        if held.is_some_and(|held| entry.revision < held) {
+            return;
+        }
+        match entry.value {
+            Some(_) => self.revisions.borrow_mut().insert(entry.key.clone(), entry.revision),
+            None => self.revisions.borrow_mut().remove(&entry.key),
+        };
+        if let Some(name) = entry.key.strip_prefix(MEMBER_PREFIX) {
+            let member = entry.value.as_deref().and_then(|text| serde_json::from_str(text).ok());
+            slog::info!(core.events.logger(), "daemon listed"; "code" => 200, "member" => name,
+                "revision" => entry.revision.0, "lives" => member.is_some());
+            core.members.borrow_mut().apply(name, member);
+            return;
+        }
+        match core.dialect.change(&entry) {
+            Change::Plan(plan) => {
+                let version = plan.version;
+                let taken = core.steering.borrow_mut().apply_plan(*plan);
+                slog::info!(core.events.logger(), "configuration"; "code" => 100, "version" => version.0,
+                    "revision" => entry.revision.0, "in_force" => taken);
+            }
+            Change::Server(id, Some(server)) => {
+                self.doubted.borrow_mut().remove(&id);
+                slog::info!(core.events.logger(), "backend server listed"; "code" => 300, "backend" => %id,
+                    "revision" => entry.revision.0, "address" => %server.address, "leaving" => server.leaving,
+                    "cold_ms" => server.cold_left.as_millis());
+                core.steering.borrow_mut().apply_server(server, core.now());
+            }
+            Change::Server(id, None) => self.server_gone(core, id, entry.revision),
+            Change::Evacuation(domain, active) => {
+                slog::info!(core.events.logger(), "evacuation"; "code" => 110, "domain" => %domain,
+                    "revision" => entry.revision.0, "active" => active);
+                core.steering.borrow_mut().set_evacuated(&domain, active, core.now());
+            }
+            Change::Unreadable(cause) => {
+                slog::warn!(core.events.logger(), "entry cannot be used"; "code" => 901, "key" => &*entry.key,
+                    "revision" => entry.revision.0, "cause" => &*cause);
+            }
+            Change::Other => {}
+        }
+    }
+
+    fn server_gone<D: Dialect>(&self, core: &Core<D>, id: Backend, revision: Revision) {
+        let now = core.now();
+        let leaving = core.steering.borrow().server(&id).is_none_or(|s| s.entry.leaving);
+        let doubt = !leaving && self.failed.borrow().is_some_and(|at| now.since(at) < DOUBT);
+        slog::info!(core.events.logger(), "backend server gone"; "code" => 301, "backend" => %id,
+            "revision" => revision.0, "doubted" => doubt);
+        if doubt {
+            self.doubted.borrow_mut().entry(id).or_insert(now + RESTORED_WITHIN);
+            return;
+        }
+        core.steering.borrow_mut().remove_server(&id, now);
+        core.pool.borrow_mut().close(&id);
+    }
+
+    /// Removes servers whose entries did not come back after an outage.
+    pub fn settle_doubts<D: Dialect>(&self, core: &Core<D>) {
+        let now = core.now();
+        let due: Vec<Backend> =
+            self.doubted.borrow().iter().filter(|(_, at)| now >= **at).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.doubted.borrow_mut().remove(&id);
+            core.steering.borrow_mut().remove_server(&id, now);
+            core.pool.borrow_mut().close(&id);
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod ranked;
 pub mod routing;
 pub mod status;
+pub mod steering;
 pub mod time;
--- a/crates/transport/src/kv.rs
+++ b/crates/transport/src/kv.rs
@@ -28,10 +28,28 @@
 #[display("the key-value service is unavailable: {cause}")]
 pub struct Unavailable {
     cause: Box<str>,
+    history_lost: bool,
+}
+
+impl Unavailable {
+    /// A call that failed because of `cause`.
+    pub fn new(cause: impl ToString) -> Self {
+        Self { cause: cause.to_string().into(), history_lost: false }
+    }
+
+    /// The changes since the revision of a watch are no longer known; everything must be listed again.
+    pub fn history_lost() -> Self {
+        Self { cause: "the history since the revision is gone".into(), history_lost: true }
+    }
+
+    /// Whether the service answered, but no longer has the changes that were asked for.
+    pub fn is_history_lost(&self) -> bool {
+        self.history_lost
+    }
 }
 
 fn unavailable(cause: impl ToString) -> Unavailable {
-    Unavailable { cause: cause.to_string().into() }
+    Unavailable::new(cause)
 }
 
 /// What a key must be for a write to take effect.
@@ -41,6 +59,8 @@
     Absent,
     /// Its last change has this revision.
     Revision(Revision),
+    /// Anything; the write takes effect in any case.
+    Any,
 }
 
 /// Result of a write.
@@ -96,6 +116,14 @@
     fn grant_lease(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, Unavailable>>;
 }
 
+/// A service whose leases are renewed for as long as their holder lives.
+pub trait RenewableStore: Store {
+    /// Renews a lease. `false` if it has ended.
+    fn keep_lease(&self, lease: LeaseId) -> impl Future<Output = Result<bool, Unavailable>>;
+    /// Ends a lease; its keys are deleted.
+    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), Unavailable>>;
+}
+
 /// HTTP client for the platform. Connections leave from `source`, if given.
 pub fn platform_client(source: Option<IpAddr>) -> Client {
     let mut connector = Connector::new();
@@ -211,6 +239,7 @@
         req = match expect {
             Expect::Absent => req.insert_header((header::IF_NONE_MATCH, "*")),
             Expect::Revision(revision) => req.insert_header((header::IF_MATCH, quoted(revision))),
+            Expect::Any => req,
         };
         if let Some(lease) = lease {
             req = req.insert_header(("lease", lease.to_string()));
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod backend;
 pub mod clock;
+pub mod http1;
 pub mod kv;
 pub mod stream;
