Keep each object on a short preference list of servers

Cause: under load every daemon spread an object over any idle server; each then ran it cold, which takes 3.3 times as long, and the fleet stayed saturated by cold work.

Change: objects are kept apart by route, each has at most two preferred servers per region by rendezvous score, and slot time has a price that grows with the load of the service. A waiting request that can no longer be served is refused.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,8 @@
 use medlarstair_state::steering::engine::RoundTrips;
 use medlarstair_state::steering::retries::RetryLimits;
 
+use crate::eventlog::LogVolume;
+
 /// Settings of a daemon.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -49,6 +51,8 @@
     pub cold_slack: f64,
     /// Level of the log.
     pub log_level: LogLevel,
+    /// Bounds of the log's volume.
+    pub log_volume: LogVolume,
 }
 
 /// The text is not a time.
@@ -139,6 +143,11 @@
     let cold_overrun = r.required("limits", "cold_overrun");
     let cold_slack = r.required("limits", "cold_slack");
     let log_level = r.optional("log", "level").unwrap_or(LogLevel::Info);
+    let volume = LogVolume::default();
+    let log_volume = LogVolume {
+        sample_every: r.optional("log", "sample_every").unwrap_or(volume.sample_every),
+        lines_per_second: r.optional("log", "lines_per_second").unwrap_or(volume.lines_per_second),
+    };
     Some(Config {
         name: name?.into(),
         region: region?,
@@ -155,6 +164,7 @@
         cold_overrun: cold_overrun?,
         cold_slack: cold_slack?,
         log_level,
+        log_volume,
     })
 }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -80,7 +80,8 @@
 ) -> io::Result<()> {
     let metrics = Metrics::new().map_err(io::Error::other)?;
     let grace = cfg.grace;
-    let core = Core::new(cfg, dialect, metrics, EventLog::new(log.clone()));
+    let events = EventLog::new(log.clone(), cfg.log_volume);
+    let core = Core::new(cfg, dialect, metrics, events);
     listen(&core).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %core.cfg.callers);
     let (store, regained, follower) = (Rc::new(store), Rc::new(Notify::new()), Rc::new(Follower::default()));
--- a/crates/gateway/src/eventlog.rs
+++ b/crates/gateway/src/eventlog.rs
@@ -5,16 +5,15 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::num::NonZeroU64;
 use std::time::Duration;
 
 use medlarstair_coordination::log::unnamed_logger;
 use medlarstair_coordination::settings::LogLevel;
 use medlarstair_state::time::Timestamp;
+use rapidhash::v3::rapidhash_v3;
 use slog::{Logger, o};
 
-/// Lines of one event per second.
-const LINES_PER_SECOND: u32 = 20;
-
 /// Window of the budget.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -24,6 +23,21 @@
     (log.new(o!("daemon" => name.to_owned())), guard)
 }
 
+/// Bounds of the volume of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogVolume {
+    /// One of so many requests is logged although nothing went wrong, chosen by its identity.
+    pub sample_every: NonZeroU64,
+    /// Lines of one event per second.
+    pub lines_per_second: u32,
+}
+
+impl Default for LogVolume {
+    fn default() -> Self {
+        Self { sample_every: const { NonZeroU64::new(50).unwrap() }, lines_per_second: 20 }
+    }
+}
+
 /// Number of an event; the catalogue lists them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EventCode(pub u16);
@@ -39,13 +53,19 @@
 #[derive(Debug)]
 pub struct EventLog {
     log: Logger,
+    volume: LogVolume,
     budgets: RefCell<BTreeMap<EventCode, Budget>>,
 }
 
 impl EventLog {
     /// A log that writes to `log`.
-    pub fn new(log: Logger) -> Self {
-        Self { log, budgets: RefCell::default() }
+    pub fn new(log: Logger, volume: LogVolume) -> Self {
+        Self { log, volume, budgets: RefCell::default() }
+    }
+
+    /// Whether all lines of the request are written. Every daemon chooses the same requests.
+    pub fn is_sampled(&self, request: &[u8]) -> bool {
+        rapidhash_v3(request) % self.volume.sample_every == 0
     }
 
     /// The logger, for lines that are always written.
@@ -63,7 +83,7 @@
             }
             *budget = Budget { since: now, lines: 0, omitted: 0 };
         }
-        if budget.lines >= LINES_PER_SECOND {
+        if budget.lines >= self.volume.lines_per_second {
             budget.omitted += 1;
             return None;
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -92,7 +92,7 @@
         Err(_) => return status(StatusCode::BAD_REQUEST),
     };
     let notes = core.dialect.call_head(&head.headers);
-    let (object, fingerprint) = identify(&head, &notes, &body);
+    let (object, fingerprint) = identify(&route, &head, &notes, &body);
     let begun = core.steering.borrow_mut().begin(arrived, &route, object, fingerprint, notes.patience);
     let Some(call) = begun else {
         return refused(Refusal { reason: Reason::NoServer, retry_after: NO_PLAN_RETRY });
@@ -111,9 +111,10 @@
     plan.route(host, head.uri.path()).cloned().map(Rc::new)
 }
 
-fn identify(head: &Parts, notes: &CallHead, body: &Bytes) -> (ObjectId, Fingerprint) {
+fn identify(route: &Route, head: &Parts, notes: &CallHead, body: &Bytes) -> (ObjectId, Fingerprint) {
     let attempt = notes.attempt.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
-    let object = notes.object.unwrap_or_else(|| ObjectId::of(attempt));
+    // A server's state for an object serves one kind of request, so each route has objects of its own.
+    let object = notes.object.unwrap_or_else(|| ObjectId::of(attempt)).on(&route.name);
     let mut text = Vec::with_capacity(256);
     text.extend_from_slice(head.method.as_str().as_bytes());
     text.extend_from_slice(head.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
@@ -227,7 +228,7 @@
             // The load that an answer carries still counts the request that it answers.
             core.steering.borrow_mut().report(now, &choice.backend, *load);
         }
-        self.note_send(choice, &sending.outcome, now);
+        self.note_send(choice, &sending.outcome, started, now);
         sent
     }
 
@@ -240,7 +241,7 @@
         }
     }
 
-    fn note_send(&self, choice: &Choice, outcome: &Outcome, now: Timestamp) {
+    fn note_send(&self, choice: &Choice, outcome: &Outcome, started: Timestamp, now: Timestamp) {
         let core = self.core;
         let (label, is_fault) = match outcome {
             Outcome::Answered { ok: true, .. } => ("ok", false),
@@ -254,14 +255,16 @@
             Outcome::Cancelled => ("cancelled", false),
         };
         core.metrics.sends.with_label_values(&[self.call.service.as_str(), label]).inc();
-        if !is_fault {
+        if !is_fault && !core.events.is_sampled(self.request_id().as_bytes()) {
             return;
         }
         if let Some(log) = core.events.admit(now, EventCode(330)) {
-            slog::info!(log, "send failed"; "code" => 330, "request" => self.request_id(),
-                "route" => &*self.call.route.name, "backend" => %choice.backend, "outcome" => label,
-                "after_ms" => now.since(self.call.arrived).as_millis(),
-                "expected_ms" => choice.expected.as_millis(), "occupancy" => choice.occupancy);
+            slog::info!(log, "send ended"; "code" => 330, "request" => self.request_id(),
+                "route" => &*self.call.route.name, "service" => %self.call.service,
+                "backend" => %choice.backend, "outcome" => label, "object" => %self.call.object,
+                "warm" => choice.warm, "expected_ms" => choice.expected.as_millis(),
+                "occupancy" => choice.occupancy, "took_ms" => now.since(started).as_millis(),
+                "after_ms" => now.since(self.call.arrived).as_millis());
         }
     }
 
--- a/crates/state/src/steering/affinity.rs
+++ b/crates/state/src/steering/affinity.rs
@@ -6,15 +6,17 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use derive_more::Display;
 use rapidhash::v3::rapidhash_v3;
 
 use crate::id::Backend;
 
 /// Objects that one server is assumed to keep warm for one daemon. Below the number that a server keeps for all.
-const WARM_OBJECTS: usize = 24;
+const WARM_OBJECTS: usize = 12;
 
 /// Hash of an object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+#[display("{_0:016x}")]
 pub struct ObjectId(pub u64);
 
 impl ObjectId {
@@ -22,6 +24,11 @@
     pub fn of(name: &[u8]) -> Self {
         Self(rapidhash_v3(name))
     }
+
+    /// The object as the requests of one route concern it.
+    pub fn on(self, route: &str) -> Self {
+        Self(self.0.rotate_left(21) ^ rapidhash_v3(route.as_bytes()))
+    }
 }
 
 /// Rendezvous score of a server for an object; the highest score wins.
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -29,15 +29,29 @@
 /// Work of a server that has just started relative to a warm one.
 const STARTING_RATIO: f64 = 2.0;
 
-/// Probability that a server is warm for an object of which it is the first choice of its region.
-const WARM_PRIOR_FIRST: f64 = 0.6;
+/// Probability that a server is warm for an object that this daemon has not sent to it, by the server's rank in the
+/// object's preference list.
+const WARM_PRIOR: [f64; 2] = [0.7, 0.4];
 
-/// Probability that any other server is warm for an object that this daemon has not sent to it.
-const WARM_PRIOR_OTHER: f64 = 0.1;
+/// Probability that a server outside the preference list is warm for an object.
+const WARM_PRIOR_OTHER: f64 = 0.02;
+
+/// Objects of one daemon's callers for which a server of a region is meant to stay warm. Servers keep a few dozen, and
+/// other regions need some of them.
+const OBJECTS_PER_SERVER: usize = 14;
+
+/// Time after which an object is no longer counted as in use.
+const OBJECT_MEMORY: Duration = Duration::from_secs(20);
 
 /// Weight of a new sample in the mean times of a route.
 const TIME_WEIGHT: f64 = 0.1;
 
+/// Load of a service, as a part of its slots, from which slot time has a price.
+const PRESSURE_FROM: f64 = 0.35;
+
+/// Price of slot time relative to the caller's own time when all slots are taken.
+const PRESSURE_PRICE: f64 = 4.0;
+
 /// Requests that may wait at a server beyond its slots. The reports lag, so the last place is often free.
 const QUEUE_AT_SERVER: f64 = 1.0;
 
@@ -240,6 +254,7 @@
     budget: RetryBudget,
     returns: ReturnSchedule,
     waiting: BTreeMap<Ticket, Call>,
+    objects: BTreeMap<ObjectId, Timestamp>,
     released: Timestamp,
     interval: Mean,
 }
@@ -264,9 +279,12 @@
     next_ticket: u64,
 }
 
-/// A server that could take a request.
+/// A server that could take a request. Times are in seconds.
 struct Candidate<'a> {
     server: &'a Server,
+    /// Expected time until the answer.
+    latency: f64,
+    /// What the choice is made by: the latency and the price of the slot time that the request takes from others.
     cost: f64,
     wait: f64,
     has_room: bool,
@@ -413,7 +431,11 @@
             (None, Some(t)) => t,
             (None, None) => Duration::from_secs(60),
         };
-        self.service_state(&service, now).budget.requested(now);
+        let state = self.service_state(&service, now);
+        state.budget.requested(now);
+        if route.affinity {
+            state.objects.insert(object, now);
+        }
         Some(Call {
             route: Rc::clone(route),
             service,
@@ -432,6 +454,7 @@
             budget: RetryBudget::default(),
             returns: ReturnSchedule::default(),
             waiting: BTreeMap::new(),
+            objects: BTreeMap::new(),
             released: now,
             interval: Mean { value: 0.05 },
         })
@@ -456,7 +479,7 @@
         match self.choose(now, call) {
             Some(best) if best.has_room && (ahead == 0 || !self.is_lower_rank(call)) => {
                 let choice = best.choice();
-                if !is_acceptable(now, call, best.cost, best.wait) {
+                if !is_acceptable(now, call, best.latency, best.wait) {
                     let room = Duration::from_secs_f64(best.wait);
                     return self.refuse(now, call, Reason::Overload, room);
                 }
@@ -464,8 +487,8 @@
             }
             Some(best) => {
                 let wait = self.queue_wait(call, ahead).max(best.wait);
-                let cost = best.cost - best.wait + wait;
-                if !is_acceptable(now, call, cost, wait) {
+                let latency = best.latency - best.wait + wait;
+                if !is_acceptable(now, call, latency, wait) {
                     return self.refuse(now, call, Reason::Overload, Duration::from_secs_f64(wait));
                 }
                 self.enqueue(now, call)
@@ -546,11 +569,11 @@
                 continue;
             };
             let decision = match self.choose(now, &call) {
-                Some(best) if best.has_room => {
+                Some(best) if best.has_room && is_servable(now, &call, best.latency) => {
                     let choice = best.choice();
                     self.send(now, &call, choice)
                 }
-                Some(best) if is_servable(now, &call, best.cost) => {
+                Some(best) if !best.has_room && is_servable(now, &call, best.latency) => {
                     blocked = Some(ticket.urgency);
                     continue;
                 }
@@ -596,7 +619,8 @@
         let Some(members) = self.members.get(&call.service) else {
             return found;
         };
-        let firsts = self.first_choices(now, call, members);
+        let preferences = self.preferences(now, call, members);
+        let pressure = self.pressure(now, members);
         let mut regions: BTreeMap<&Region, bool> = BTreeMap::new();
         for id in members {
             let Some(server) = self.servers.get(id) else {
@@ -609,34 +633,53 @@
             if !allowed || !self.is_eligible(now, call, server) {
                 continue;
             }
-            let is_first = firsts.get(region).is_some_and(|(_, first)| *first == id);
-            found.push(self.candidate(now, call, server, is_first));
+            let rank = preferences.get(id).copied();
+            found.push(self.candidate(now, call, server, rank, pressure));
         }
         found
     }
 
-    /// The server of each region with the highest rendezvous score among those that may be used.
-    fn first_choices<'a>(
+    /// How scarce slots are: zero while a service is lightly loaded, one when all its slots are taken.
+    ///
+    /// Work on a cold object takes several times as long as on a warm one. Under load, spreading an object over more
+    /// servers would make all of them colder and the load worse.
+    fn pressure(&self, now: Timestamp, members: &BTreeSet<Backend>) -> f64 {
+        let usable = members.iter().filter_map(|id| self.servers.get(id)).filter(|s| s.is_usable(now));
+        let (mut taken, mut slots) = (0.0, 0.0);
+        for server in usable.filter(|s| !self.evacuated.contains(&s.entry.domain)) {
+            taken += server.occupancy(now);
+            slots += f64::from(server.entry.slots);
+        }
+        let load = taken / f64::max(slots, 1.0);
+        ((load - PRESSURE_FROM) / (1.0 - PRESSURE_FROM)).clamp(0.0, 1.0)
+    }
+
+    /// The preference list of an object: in each region the servers with the highest rendezvous scores, as many as can
+    /// keep all objects warm. Every daemon of a region makes the same list, so an object stays on few servers.
+    fn preferences<'a>(
         &'a self,
         now: Timestamp,
         call: &Call,
         members: &'a BTreeSet<Backend>,
-    ) -> BTreeMap<&'a Region, (u64, &'a Backend)> {
-        let mut firsts: BTreeMap<&Region, (u64, &Backend)> = BTreeMap::new();
+    ) -> BTreeMap<&'a Backend, usize> {
+        let mut scores: BTreeMap<&Region, Vec<(u64, &Backend)>> = BTreeMap::new();
         for id in members {
             let Some(server) = self.servers.get(id) else {
                 continue;
             };
-            if !server.is_usable(now) || self.evacuated.contains(&server.entry.domain) {
-                continue;
-            }
-            let score = score(server.hash(), call.object);
-            let first = firsts.entry(&server.entry.region).or_insert((score, id));
-            if score > first.0 {
-                *first = (score, id);
+            if server.is_usable(now) && !self.evacuated.contains(&server.entry.domain) {
+                let score = score(server.hash(), call.object);
+                scores.entry(&server.entry.region).or_default().push((score, id));
             }
         }
-        firsts
+        let objects = self.services.get(&call.service).map_or(1, |s| s.objects.len()).max(1);
+        let mut ranks = BTreeMap::new();
+        for list in scores.values_mut() {
+            let places = (OBJECTS_PER_SERVER * list.len() / objects).clamp(1, WARM_PRIOR.len());
+            list.sort_unstable_by(|a, b| b.cmp(a));
+            ranks.extend(list.iter().take(places).enumerate().map(|(rank, (_, id))| (*id, rank)));
+        }
+        ranks
     }
 
     fn is_eligible(&self, now: Timestamp, call: &Call, server: &Server) -> bool {
@@ -665,7 +708,8 @@
         now: Timestamp,
         call: &Call,
         server: &'a Server,
-        is_first: bool,
+        rank: Option<usize>,
+        pressure: f64,
     ) -> Candidate<'a> {
         let occupancy = server.occupancy(now);
         let slots = f64::from(server.entry.slots.max(1));
@@ -673,24 +717,21 @@
         let over = (occupancy + 1.0 - slots).max(0.0);
         let wait = run * over / slots;
         let warm = call.route.affinity && server.warm.contains(call.object);
-        let likely = match (warm, is_first) {
-            (true, _) => 1.0,
-            (false, true) => WARM_PRIOR_FIRST,
-            (false, false) => WARM_PRIOR_OTHER,
-        };
+        let likely = if warm { 1.0 } else { rank.map_or(WARM_PRIOR_OTHER, |rank| WARM_PRIOR[rank]) };
         let work = self.work(call, likely)
             * server.pace(now)
             * if server.is_cold(now) { STARTING_RATIO } else { 1.0 };
         let crowding = run * 0.1 * (occupancy / slots).powi(2);
         let risk = server.failing(now) * 2.0 * call.route.objective.as_secs_f64();
-        let cost = self.round_trip(server).as_secs_f64() + wait + work + crowding + risk;
+        let latency = self.round_trip(server).as_secs_f64() + wait + work;
+        let cost = latency + crowding + risk + work * pressure * PRESSURE_PRICE;
         let places = if self.is_lower_rank(call) && server.entry.slots > RESERVED_SLOTS {
             f64::from(server.entry.slots - RESERVED_SLOTS)
         } else {
             slots + QUEUE_AT_SERVER
         };
         let has_room = occupancy + 1.0 <= places + 0.5;
-        Candidate { server, cost, wait, has_room, warm, occupancy }
+        Candidate { server, latency, cost, wait, has_room, warm, occupancy }
     }
 
     fn work(&self, call: &Call, warm: f64) -> f64 {
@@ -811,6 +852,7 @@
         let limits = self.cfg.retries;
         for state in self.services.values_mut() {
             state.budget.expire(now, &limits);
+            state.objects.retain(|_, at| now.since(*at) < OBJECT_MEMORY);
         }
     }
 
@@ -825,26 +867,31 @@
         Choice {
             backend: self.server.entry.id.clone(),
             address: self.server.entry.address,
-            expected: Duration::from_secs_f64(self.cost),
+            expected: Duration::from_secs_f64(self.latency),
             warm: self.warm,
             occupancy: self.occupancy,
         }
     }
 }
 
-/// Whether an answer after `cost` seconds still reaches the caller.
-fn is_servable(now: Timestamp, call: &Call, cost: f64) -> bool {
-    cost < call.deadline.since(now).as_secs_f64()
+/// Whether an answer after `latency` seconds still reaches the caller.
+fn is_servable(now: Timestamp, call: &Call, latency: f64) -> bool {
+    latency * ESTIMATE_MARGIN < call.deadline.since(now).as_secs_f64()
 }
 
-/// Whether a request that would wait `wait` of `cost` seconds is taken. A fresh request that cannot be answered within
+/// Factor on expected times where a late answer would be of no use: work that is cut off is lost.
+const ESTIMATE_MARGIN: f64 = 1.15;
+
+/// Whether a request that would wait `wait` of `latency` seconds is taken. A fresh request that cannot be answered within
 /// its objective is refused if it would also delay others; one that returns has missed the objective already.
-fn is_acceptable(now: Timestamp, call: &Call, cost: f64, wait: f64) -> bool {
-    if !is_servable(now, call, cost) {
+fn is_acceptable(now: Timestamp, call: &Call, latency: f64, wait: f64) -> bool {
+    if !is_servable(now, call, latency) {
         return false;
     }
     let elapsed = now.since(call.arrived).as_secs_f64();
-    wait <= 0.0 || call.returning || elapsed + cost <= call.route.objective.as_secs_f64() * LATENESS_ACCEPTED
+    wait <= 0.0
+        || call.returning
+        || elapsed + latency <= call.route.objective.as_secs_f64() * LATENESS_ACCEPTED
 }
 
 /// Expected time of an accepted answer relative to the objective of its route. Estimates are too high as often as too
