Keep slots only for urgent requests that longer work would delay

Cause: one slot of three was kept free for more urgent requests on every server, although those were rare or could wait for the end of the short work. Preferred servers looked full, so objects wandered and ran cold.

Change: a request leaves a slot free only if more urgent requests of its service take 2 % of the slots and their objective is shorter than its own work. A daemon assumes 20 warm objects per server instead of 12.

--- a/crates/state/src/steering/affinity.rs
+++ b/crates/state/src/steering/affinity.rs
@@ -12,7 +12,7 @@
 use crate::id::Backend;
 
 /// Objects that one server is assumed to keep warm for one daemon. Below the number that a server keeps for all.
-const WARM_OBJECTS: usize = 12;
+const WARM_OBJECTS: usize = 20;
 
 /// Hash of an object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -58,6 +58,12 @@
 /// Slots of each server that less urgent requests leave free for the most urgent ones.
 const RESERVED_SLOTS: u32 = 1;
 
+/// Part of a service's slots that its more urgent requests must take for slots to be kept for them.
+const URGENT_PART: f64 = 0.02;
+
+/// Time over which the demand of an urgency is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(3);
+
 /// Time for which the bound on shifts is lifted after a loss of servers was seen.
 const SHIFT_LIFTED: Duration = Duration::from_secs(4);
 
@@ -230,6 +236,28 @@
     }
 }
 
+/// Slot time that the requests of one urgency ask for, as an exponential average.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    slots: f64,
+    updated: Timestamp,
+    objective: Duration,
+}
+
+impl Demand {
+    /// Slots that are needed on average.
+    fn slots(&self, now: Timestamp) -> f64 {
+        self.slots * (-now.since(self.updated).as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    /// A request that takes a slot for `work` seconds and has an objective.
+    fn add(&mut self, now: Timestamp, work: f64, objective: Duration) {
+        self.slots = self.slots(now) + work / DEMAND_WINDOW.as_secs_f64();
+        self.updated = now;
+        self.objective = objective;
+    }
+}
+
 #[derive(Debug, Clone)]
 struct RouteTimes {
     warm: Mean,
@@ -255,6 +283,7 @@
     returns: ReturnSchedule,
     waiting: BTreeMap<Ticket, Call>,
     objects: BTreeMap<ObjectId, Timestamp>,
+    demand: BTreeMap<Urgency, Demand>,
     released: Timestamp,
     interval: Mean,
 }
@@ -431,8 +460,10 @@
             (None, Some(t)) => t,
             (None, None) => Duration::from_secs(60),
         };
+        let work = times.warm.value;
         let state = self.service_state(&service, now);
         state.budget.requested(now);
+        state.demand.entry(route.urgency).or_default().add(now, work, route.objective);
         if route.affinity {
             state.objects.insert(object, now);
         }
@@ -455,6 +486,7 @@
             returns: ReturnSchedule::default(),
             waiting: BTreeMap::new(),
             objects: BTreeMap::new(),
+            demand: BTreeMap::new(),
             released: now,
             interval: Mean { value: 0.05 },
         })
@@ -477,7 +509,7 @@
         self.shift.advance(now);
         let ahead = self.ahead(call);
         match self.choose(now, call) {
-            Some(best) if best.has_room && (ahead == 0 || !self.is_lower_rank(call)) => {
+            Some(best) if best.has_room && (ahead == 0 || !self.yields(now, call)) => {
                 let choice = best.choice();
                 if !is_acceptable(now, call, best.latency, best.wait) {
                     let room = Duration::from_secs_f64(best.wait);
@@ -539,9 +571,22 @@
         self.services.get(&call.service).map_or(0.0, |s| s.interval.value * (ahead + 1) as f64)
     }
 
-    fn is_lower_rank(&self, call: &Call) -> bool {
-        let top = self.plan.as_ref().and_then(|p| p.top_urgency(&call.service));
-        top.is_some_and(|top| call.route.urgency > top)
+    /// Whether the request leaves slots free for more urgent ones: those that come often, and could not be served within
+    /// their objective if they waited for its end.
+    fn yields(&self, now: Timestamp, call: &Call) -> bool {
+        let (Some(state), Some(members)) =
+            (self.services.get(&call.service), self.members.get(&call.service))
+        else {
+            return false;
+        };
+        let work = self.times.get(&call.route.name).map_or(0.0, |t| t.warm.value);
+        let delayed = |d: &&Demand| d.objective.as_secs_f64() < work;
+        let more_urgent = state.demand.range(..call.route.urgency).map(|(_, demand)| demand);
+        let urgent: f64 = more_urgent.filter(delayed).map(|demand| demand.slots(now)).sum();
+        let servers = members.iter().filter_map(|id| self.servers.get(id));
+        let slots: u32 = servers.map(|s| s.entry.slots).sum();
+        // The own daemon sees only its part of the demand.
+        urgent * self.daemons as f64 > URGENT_PART * f64::from(slots)
     }
 
     /// Requests of the queue that can be sent now or must be refused. Call after each end of a send and regularly.
@@ -725,7 +770,7 @@
         let risk = server.failing(now) * 2.0 * call.route.objective.as_secs_f64();
         let latency = self.round_trip(server).as_secs_f64() + wait + work;
         let cost = latency + crowding + risk + work * pressure * PRESSURE_PRICE;
-        let places = if self.is_lower_rank(call) && server.entry.slots > RESERVED_SLOTS {
+        let places = if self.yields(now, call) && server.entry.slots > RESERVED_SLOTS {
             f64::from(server.entry.slots - RESERVED_SLOTS)
         } else {
             slots + QUEUE_AT_SERVER
