--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -23,12 +23,15 @@
 use crate::steering::warmup::allowance;
 use crate::time::Timestamp;
 
-/// Work of a cold object relative to a warm one, until both have been measured.
+/// Work on a cold object relative to a warm one, until both have been measured.
 const COLD_RATIO: f64 = 3.0;
 
 /// Work of a server that has just started relative to a warm one.
 const STARTING_RATIO: f64 = 2.0;
 
+/// Guess of the work on a warm object, relative to the objective of its route, until it has been measured.
+const WORK_GUESS: f64 = 0.5;
+
 /// Probability that a server is warm for an object that this daemon has not sent to it, by the server's rank in the
 /// object's preference list.
 const WARM_PRIOR: [f64; 2] = [0.7, 0.4];
@@ -225,15 +228,26 @@
     Cancelled,
 }
 
+/// An exponential average that starts with a guess.
 #[derive(Debug, Clone, Copy)]
 struct Mean {
     value: f64,
+    samples: u32,
 }
 
 impl Mean {
+    fn new(guess: f64) -> Self {
+        Self { value: guess, samples: 0 }
+    }
+
     fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
         self.value += (sample - self.value) * TIME_WEIGHT;
     }
+
+    fn is_measured(&self) -> bool {
+        self.samples > 0
+    }
 }
 
 /// Slot time that the requests of one urgency ask for, as an exponential average.
@@ -267,11 +281,20 @@
 
 impl RouteTimes {
     fn new(route: &Route) -> Self {
-        let cold = route.objective.as_secs_f64() * 1.5;
-        Self {
-            warm: Mean { value: cold / COLD_RATIO },
-            cold: Mean { value: cold },
-            longest_deadline: Duration::ZERO,
+        let warm = Mean::new(route.objective.as_secs_f64() * WORK_GUESS);
+        Self { warm, cold: Mean::new(warm.value * COLD_RATIO), longest_deadline: Duration::ZERO }
+    }
+
+    /// Whether any request has been measured.
+    fn is_measured(&self) -> bool {
+        self.warm.is_measured() || self.cold.is_measured()
+    }
+
+    fn learn(&mut self, work: f64, warm: bool) {
+        if warm {
+            self.warm.add(work);
+        } else if work > self.warm.value * 1.5 {
+            self.cold.add(work);
         }
     }
 }
@@ -481,14 +504,14 @@
 
     fn service_state(&mut self, service: &Service, now: Timestamp) -> &mut ServiceState {
         self.services.entry(service.clone()).or_insert_with(|| ServiceState {
-            run: Mean { value: 0.2 },
+            run: Mean::new(0.2),
             budget: RetryBudget::default(),
             returns: ReturnSchedule::default(),
             waiting: BTreeMap::new(),
             objects: BTreeMap::new(),
             demand: BTreeMap::new(),
             released: now,
-            interval: Mean { value: 0.05 },
+            interval: Mean::new(0.05),
         })
     }
 
@@ -511,7 +534,7 @@
         match self.choose(now, call) {
             Some(best) if best.has_room && (ahead == 0 || !self.yields(now, call)) => {
                 let choice = best.choice();
-                if !is_acceptable(now, call, best.latency, best.wait) {
+                if !self.is_acceptable(now, call, best.latency, best.wait) {
                     let room = Duration::from_secs_f64(best.wait);
                     return self.refuse(now, call, Reason::Overload, room);
                 }
@@ -520,7 +543,7 @@
             Some(best) => {
                 let wait = self.queue_wait(call, ahead).max(best.wait);
                 let latency = best.latency - best.wait + wait;
-                if !is_acceptable(now, call, latency, wait) {
+                if !self.is_acceptable(now, call, latency, wait) {
                     return self.refuse(now, call, Reason::Overload, Duration::from_secs_f64(wait));
                 }
                 self.enqueue(now, call)
@@ -567,6 +590,19 @@
         state.waiting.keys().filter(|t| t.urgency <= call.route.urgency).count()
     }
 
+    /// Whether a request that would wait `wait` of `latency` seconds is taken. A fresh request that cannot be answered
+    /// within its objective is refused if it would also delay others; one that returns has missed the objective already.
+    fn is_acceptable(&self, now: Timestamp, call: &Call, latency: f64, wait: f64) -> bool {
+        // A guess that is too high would refuse all requests of a new route, so that it would never be corrected.
+        let is_measured = self.times.get(&call.route.name).is_some_and(RouteTimes::is_measured);
+        if is_measured && !is_servable(now, call, latency) {
+            return false;
+        }
+        let elapsed = now.since(call.arrived).as_secs_f64();
+        let limit = call.route.objective.as_secs_f64() * LATENESS_ACCEPTED;
+        wait <= 0.0 || call.returning || elapsed + latency <= limit
+    }
+
     fn queue_wait(&self, call: &Call, ahead: usize) -> f64 {
         self.services.get(&call.service).map_or(0.0, |s| s.interval.value * (ahead + 1) as f64)
     }
@@ -762,7 +798,11 @@
         let over = (occupancy + 1.0 - slots).max(0.0);
         let wait = run * over / slots;
         let warm = call.route.affinity && server.warm.contains(call.object);
-        let likely = if warm { 1.0 } else { rank.map_or(WARM_PRIOR_OTHER, |rank| WARM_PRIOR[rank]) };
+        let likely = if warm || !call.route.affinity {
+            1.0
+        } else {
+            rank.map_or(WARM_PRIOR_OTHER, |rank| WARM_PRIOR[rank])
+        };
         let work = self.work(call, likely)
             * server.pace(now)
             * if server.is_cold(now) { STARTING_RATIO } else { 1.0 };
@@ -854,11 +894,7 @@
             return;
         }
         if let Some(times) = self.times.get_mut(&call.route.name) {
-            if choice.warm {
-                times.warm.add(work);
-            } else if work > times.warm.value * 1.5 {
-                times.cold.add(work);
-            }
+            times.learn(work, choice.warm || !call.route.affinity);
         }
     }
 
@@ -927,18 +963,6 @@
 /// Factor on expected times where a late answer would be of no use: work that is cut off is lost.
 const ESTIMATE_MARGIN: f64 = 1.15;
 
-/// Whether a request that would wait `wait` of `latency` seconds is taken. A fresh request that cannot be answered within
-/// its objective is refused if it would also delay others; one that returns has missed the objective already.
-fn is_acceptable(now: Timestamp, call: &Call, latency: f64, wait: f64) -> bool {
-    if !is_servable(now, call, latency) {
-        return false;
-    }
-    let elapsed = now.since(call.arrived).as_secs_f64();
-    wait <= 0.0
-        || call.returning
-        || elapsed + latency <= call.route.objective.as_secs_f64() * LATENESS_ACCEPTED
-}
-
 /// Expected time of an accepted answer relative to the objective of its route. Estimates are too high as often as too
 /// low, so that a bound of one would refuse many that are answered in time.
 const LATENESS_ACCEPTED: f64 = 1.5;
