Wait for a warm server rather than run cold on one with room

Cause: a server with room was always preferred to one without.

Change: the server with the lowest cost is chosen, and the request waits in the daemon if that server has no room.

--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -675,23 +675,15 @@
         }
     }
 
-    /// The best server for a request; the best with room if there is one.
+    /// The best server for a request. One without room may be the best: a short wait for a warm server takes less slot
+    /// time than a run on a cold one.
     fn choose(&self, now: Timestamp, call: &Call) -> Option<Candidate<'_>> {
-        let mut best: Option<Candidate<'_>> = None;
-        for bound in [true, false] {
-            if !bound && best.is_some() && now >= self.shift_lifted {
-                break;
-            }
-            for candidate in self.candidates(now, call, bound) {
-                let better = best
-                    .as_ref()
-                    .is_none_or(|b| (candidate.has_room, -candidate.cost) > (b.has_room, -b.cost));
-                if better {
-                    best = Some(candidate);
-                }
-            }
-        }
-        best
+        let cheapest = |bound| {
+            let candidates = self.candidates(now, call, bound).into_iter();
+            candidates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        };
+        let is_bound = now >= self.shift_lifted;
+        cheapest(is_bound).or_else(|| if is_bound { cheapest(false) } else { None })
     }
 
     /// Usable servers with their costs; with `bound`, only in regions that the bound on shifts allows.
