--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -2,7 +2,7 @@
 //!
 //! One listing and then one watch cover everything. An older revision of a key never replaces a newer one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,17 +30,30 @@
 /// Longest pause after failed calls.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
-/// Time after a failure of the service for which the deletion of a server's entry is doubted.
-const DOUBT: Duration = Duration::from_secs(4);
+/// Time after the return of the service within which the changes of the outage arrive. Later deletions are not doubted:
+/// a server that leaves without notice must get no new work.
+const CATCH_UP: Duration = Duration::from_millis(300);
 
 /// Time within which a server that lives has its entry back after an outage of the service.
 const RESTORED_WITHIN: Duration = Duration::from_millis(2_200);
 
+/// Whether the service answers.
+#[derive(Debug, Clone, Copy, Default)]
+enum Outage {
+    /// It has always answered.
+    #[default]
+    None,
+    /// Calls fail.
+    Lasting,
+    /// It has answered again since then.
+    Over(Timestamp),
+}
+
 /// Beliefs that come from the key-value service.
 #[derive(Debug, Default)]
 pub struct Follower {
     revisions: RefCell<BTreeMap<Box<str>, Revision>>,
-    failed: RefCell<Option<Timestamp>>,
+    outage: Cell<Outage>,
     doubted: RefCell<BTreeMap<Backend, Timestamp>>,
 }
 
@@ -70,6 +83,7 @@
         store: &S,
     ) -> Result<Revision, Unavailable> {
         let listing = store.list("").await?;
+        self.note_answer(core.now());
         let present: BTreeSet<&str> = listing.entries.iter().map(|e| &*e.key).collect();
         let gone: Vec<Box<str>> =
             self.revisions.borrow().keys().filter(|k| !present.contains(&***k)).cloned().collect();
@@ -94,13 +108,14 @@
             let watched = tokio::select! {
                 watched = store.watch("", *after, WATCH_WAIT) => watched,
                 () = regained.notified() => {
-                    self.note_trouble(core.now());
+                    self.outage.set(Outage::Lasting);
                     continue;
                 }
             };
             match watched {
                 Ok(listing) => {
                     pause = RETRY_MIN;
+                    self.note_answer(core.now());
                     *after = listing.revision.max(*after);
                     let is_change = !listing.entries.is_empty();
                     self.apply_all(core, listing);
@@ -122,14 +137,25 @@
 
     fn note_failure<D: Dialect>(&self, core: &Core<D>, e: &Unavailable) {
         let now = core.now();
-        self.note_trouble(now);
+        self.outage.set(Outage::Lasting);
         if let Some(log) = core.events.admit(now, crate::eventlog::EventCode(913)) {
             slog::warn!(log, "call to the key-value service failed"; "code" => 913, "cause" => %e);
         }
     }
 
-    fn note_trouble(&self, now: Timestamp) {
-        *self.failed.borrow_mut() = Some(now);
+    fn note_answer(&self, now: Timestamp) {
+        if matches!(self.outage.get(), Outage::Lasting) {
+            self.outage.set(Outage::Over(now));
+        }
+    }
+
+    /// Whether changes that arrive now may have happened during an outage.
+    fn is_catching_up(&self, now: Timestamp) -> bool {
+        match self.outage.get() {
+            Outage::None => false,
+            Outage::Lasting => true,
+            Outage::Over(since) => now.since(since) < CATCH_UP,
+        }
     }
 
     fn apply_all<D: Dialect>(&self, core: &Core<D>, listing: Listing) {
@@ -188,7 +214,7 @@
     fn server_gone<D: Dialect>(&self, core: &Core<D>, id: Backend, revision: Revision) {
         let now = core.now();
         let leaving = core.steering.borrow().server(&id).is_none_or(|s| s.entry.leaving);
-        let doubt = !leaving && self.failed.borrow().is_some_and(|at| now.since(at) < DOUBT);
+        let doubt = !leaving && self.is_catching_up(now);
         slog::info!(core.events.logger(), "backend server gone"; "code" => 301, "backend" => %id,
             "revision" => revision.0, "doubted" => doubt);
         if doubt {
