--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -34,7 +34,7 @@
 
 /// Probability that a server is warm for an object that this daemon has not sent to it, by the server's rank in the
 /// object's preference list.
-const WARM_PRIOR: [f64; 2] = [0.7, 0.4];
+const WARM_PRIOR: [f64; 2] = [0.9, 0.3];
 
 /// Probability that a server outside the preference list is warm for an object.
 const WARM_PRIOR_OTHER: f64 = 0.02;
--- a/crates/state/src/steering/warmup.rs
+++ b/crates/state/src/steering/warmup.rs
@@ -38,11 +38,17 @@
         self.sent.iter().filter(|at| now.since(**at) < WINDOW).count() < allowance
     }
 
+    /// Whether the server has got no request yet. Objects that prefer a server which has just joined would otherwise stay
+    /// where they are warm, and the server would get none.
+    pub fn is_untried(&self) -> bool {
+        self.sent.is_empty()
+    }
+
     /// A request was sent. Counted while the server is warm too, since it may turn cold within the window.
     pub fn sent(&mut self, now: Timestamp) {
+        self.sent.push_back(now);
         while self.sent.front().is_some_and(|at| now.since(*at) >= WINDOW) {
             self.sent.pop_front();
         }
-        self.sent.push_back(now);
     }
 }
