Trust first choices of other regions less; try joined servers once

Cause: requests that leave their region met servers that were taken to be warm for objects which that region rarely sees.

Change: the prior of a first choice is 0.9 in the own region and 0.6 elsewhere; a first choice of the own region that has had no request is taken to be warm once.

--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -32,9 +32,12 @@
 /// Guess of the work on a warm object, relative to the objective of its route, until it has been measured.
 const WORK_GUESS: f64 = 0.5;
 
-/// Probability that a server is warm for an object that this daemon has not sent to it, by the server's rank in the
-/// object's preference list.
-const WARM_PRIOR: [f64; 2] = [0.9, 0.3];
+/// Probability that a server of the own region is warm for an object that this daemon has not sent to it, by the server's
+/// rank in the object's preference list.
+const WARM_PRIOR_NEAR: [f64; 2] = [0.9, 0.3];
+
+/// The same for servers of other regions, to which requests go only when the own region is full.
+const WARM_PRIOR_FAR: [f64; 2] = [0.6, 0.3];
 
 /// Probability that a server outside the preference list is warm for an object.
 const WARM_PRIOR_OTHER: f64 = 0.02;
@@ -748,7 +751,7 @@
         let objects = self.services.get(&call.service).map_or(1, |s| s.objects.len()).max(1);
         let mut ranks = BTreeMap::new();
         for list in scores.values_mut() {
-            let places = (OBJECTS_PER_SERVER * list.len() / objects).clamp(1, WARM_PRIOR.len());
+            let places = (OBJECTS_PER_SERVER * list.len() / objects).clamp(1, WARM_PRIOR_NEAR.len());
             list.sort_unstable_by(|a, b| b.cmp(a));
             ranks.extend(list.iter().take(places).enumerate().map(|(rank, (_, id))| (*id, rank)));
         }
@@ -790,10 +793,13 @@
         let over = (occupancy + 1.0 - slots).max(0.0);
         let wait = run * over / slots;
         let warm = call.route.affinity && server.warm.contains(call.object);
-        let likely = if warm || !call.route.affinity {
+        let is_near = server.entry.region == self.cfg.region;
+        let prior = if is_near { WARM_PRIOR_NEAR } else { WARM_PRIOR_FAR };
+        let is_untried = rank == Some(0) && is_near && server.warmup.is_untried();
+        let likely = if warm || is_untried || !call.route.affinity {
             1.0
         } else {
-            rank.map_or(WARM_PRIOR_OTHER, |rank| WARM_PRIOR[rank])
+            rank.map_or(WARM_PRIOR_OTHER, |rank| prior[rank])
         };
         let work = self.work(call, likely)
             * server.pace(now)
