--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -49,14 +49,17 @@
 /// Time after which an object is no longer counted as in use.
 const OBJECT_MEMORY: Duration = Duration::from_secs(20);
 
+/// Advantage of a server that has had no request, so that it is preferred to one that is warm and as close.
+const TRIAL_BONUS: Duration = Duration::from_millis(20);
+
 /// Weight of a new sample in the mean times of a route.
 const TIME_WEIGHT: f64 = 0.1;
 
 /// Load of a service, as a part of its slots, from which slot time has a price.
-const PRESSURE_FROM: f64 = 0.35;
+const PRESSURE_FROM: f64 = 0.6;
 
 /// Price of slot time relative to the caller's own time when all slots are taken.
-const PRESSURE_PRICE: f64 = 4.0;
+const PRESSURE_PRICE: f64 = 2.0;
 
 /// Requests that may wait at a server beyond its slots. The reports lag, so the last place is often free.
 const QUEUE_AT_SERVER: f64 = 1.0;
@@ -807,7 +810,8 @@
         let crowding = run * 0.1 * (occupancy / slots).powi(2);
         let risk = server.failing(now) * 2.0 * call.route.objective.as_secs_f64();
         let latency = self.round_trip(server).as_secs_f64() + wait + work;
-        let cost = latency + crowding + risk + work * pressure * PRESSURE_PRICE;
+        let trial = if is_untried { TRIAL_BONUS.as_secs_f64() } else { 0.0 };
+        let cost = latency + crowding + risk + work * pressure * PRESSURE_PRICE - trial;
         let places = if self.yields(now, call) && server.entry.slots > RESERVED_SLOTS {
             f64::from(server.entry.slots - RESERVED_SLOTS)
         } else {
@@ -961,6 +965,6 @@
 /// Factor on expected times where a late answer would be of no use: work that is cut off is lost.
 const ESTIMATE_MARGIN: f64 = 1.15;
 
-/// Expected time of an accepted answer relative to the objective of its route. Estimates are too high as often as too
-/// low, so that a bound of one would refuse many that are answered in time.
-const LATENESS_ACCEPTED: f64 = 1.5;
+/// Expected time of an accepted answer relative to the objective of its route. Below one, since more answers are late
+/// than early relative to the estimate, and an answer that is late delays others too.
+const LATENESS_ACCEPTED: f64 = 0.9;
