--- a/crates/daemons/src/ctl/mod.rs
+++ b/crates/daemons/src/ctl/mod.rs
@@ -29,7 +29,7 @@
 
 use api::Api;
 
-/// Exit codes. Scripts rely on them; docs/operations.md lists them.
+/// Exit codes. Scripts rely on them; docs/OPERATIONS.md lists them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exit {
     /// The command did what it was asked to.
@@ -104,7 +104,7 @@
     error_code(3, "conflict: somebody else has changed the value"),
     error_code(4, "no daemon answers, or the key-value service does not"),
     error_code(5, "accepted, but not in force everywhere in time"),
-    note = "Options come before the command. docs/operations.md describes all commands."
+    note = "Options come before the command. docs/OPERATIONS.md describes all commands."
 )]
 pub struct Args {
     /// address of a daemon for callers and operators; give several, and the next is used when one does not answer
--- a/crates/daemons/tests/settings.rs
+++ b/crates/daemons/tests/settings.rs
@@ -198,7 +198,7 @@
 /// Guards against settings, metrics and reasons that operators cannot look up.
 #[test]
 fn operations_page_lists_all_settings_metrics_and_reasons() {
-    let page = read(repository().join("docs/operations.md"));
+    let page = read(repository().join("docs/OPERATIONS.md"));
     let sources = repository().join("crates/coordination/src");
     let metrics = names_after(&read(sources.join("metrics.rs")), "\"medlarstair_");
     assert!(metrics.len() >= 9, "{metrics:?}");
@@ -234,7 +234,7 @@
 /// Guards against commands that operators cannot look up.
 #[test]
 fn operations_page_lists_all_commands() {
-    let page = read(repository().join("docs/operations.md"));
+    let page = read(repository().join("docs/OPERATIONS.md"));
     let help = std::process::Command::new(env!("CARGO_BIN_EXE_medlarctl")).arg("--help").output();
     let help = String::from_utf8(help.expect("medlarctl can be started").stdout).expect("the help is text");
     let commands = help.split_once("Commands:\n").and_then(|(_, rest)| rest.split_once("\n\n"));
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -95,13 +95,13 @@
     signal(SignalKind::terminate())?.recv().await;
     stop(&core, grace).await;
     keeper.abort();
-    slog::info!(log, "stopped"; "code" => 3, "connections" => core.active());
+    slog::info!(log, "stopped"; "code" => 2, "connections" => core.active());
     Ok(())
 }
 
 /// Writes why a daemon could not run.
 pub fn log_failure(log: &Logger, e: &io::Error) {
-    slog::error!(log, "the daemon ends"; "code" => 900, "cause" => %e);
+    slog::error!(log, "the daemon ends"; "code" => 574, "cause" => %e);
 }
 
 async fn listen<D: Dialect>(core: &Rc<Core<D>>) -> io::Result<()> {
@@ -120,7 +120,7 @@
 /// are served for a while.
 async fn stop<D: Dialect>(core: &Core<D>, grace: Duration) {
     let begun = Instant::now();
-    slog::info!(core.events.logger(), "stopping"; "code" => 2, "connections" => core.active());
+    slog::info!(core.events.logger(), "stopping"; "code" => 500, "connections" => core.active());
     let span = grace.saturating_sub(STOP_MARGIN);
     core.stop(core.now() + span.saturating_sub(ANSWER_MARGIN));
     let end = begun + span;
@@ -135,10 +135,10 @@
         match Config::read(&path) {
             Ok(cfg) => {
                 core.steering.borrow_mut().reconfigure(cfg.steering());
-                slog::info!(core.events.logger(), "settings reloaded"; "code" => 4);
+                slog::info!(core.events.logger(), "settings reloaded"; "code" => 501);
             }
             Err(e) => {
-                slog::warn!(core.events.logger(), "settings not reloaded"; "code" => 902, "cause" => %e);
+                slog::warn!(core.events.logger(), "settings not reloaded"; "code" => 573, "cause" => %e);
             }
         }
     }
--- a/crates/gateway/src/eventlog.rs
+++ b/crates/gateway/src/eventlog.rs
@@ -79,7 +79,7 @@
         let budget = budgets.entry(code).or_insert(Budget { since: now, lines: 0, omitted: 0 });
         if now.since(budget.since) >= WINDOW {
             if budget.omitted > 0 {
-                slog::warn!(self.log, "lines were left out"; "code" => 920, "of" => code.0, "lines" => budget.omitted);
+                slog::warn!(self.log, "lines were left out"; "code" => 575, "of" => code.0, "lines" => budget.omitted);
             }
             *budget = Budget { since: now, lines: 0, omitted: 0 };
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -70,8 +70,8 @@
         return refused(Refusal { reason: Reason::NoPlan, retry_after: NO_PLAN_RETRY });
     };
     let Some(route) = find_route(&plan, &head) else {
-        if let Some(log) = core.events.admit(arrived, EventCode(320)) {
-            slog::info!(log, "no route"; "code" => 320, "path" => head.uri.path(), "version" => plan.version.0);
+        if let Some(log) = core.events.admit(arrived, EventCode(540)) {
+            slog::info!(log, "no route"; "code" => 540, "path" => head.uri.path(), "version" => plan.version.0);
         }
         return status(StatusCode::NOT_FOUND);
     };
@@ -94,6 +94,7 @@
     let mut job = Job { core, head: &head, notes, body, call, may_have_run: false };
     let (res, outcome) = job.run().await;
     let took = core.now().since(arrived);
+    job.note_end(res.status(), outcome, took);
     core.metrics.requests.with_label_values(&[&*route.name, outcome]).inc();
     core.metrics.latency.with_label_values(&[&*route.name]).observe(took.as_secs_f64());
     res
@@ -252,8 +253,8 @@
         if !is_fault && !core.events.is_sampled(self.request_id().as_bytes()) {
             return;
         }
-        if let Some(log) = core.events.admit(now, EventCode(330)) {
-            slog::info!(log, "send ended"; "code" => 330, "request" => self.request_id(),
+        if let Some(log) = core.events.admit(now, EventCode(541)) {
+            slog::info!(log, "send ended"; "code" => 541, "request" => self.request_id(),
                 "route" => &*self.call.route.name, "service" => %self.call.service,
                 "backend" => %choice.backend, "outcome" => label, "object" => %self.call.object,
                 "warm" => choice.warm, "expected_ms" => choice.expected.as_millis(),
@@ -262,6 +263,23 @@
         }
     }
 
+    /// Tells how a request ended, if it failed, was late or is sampled.
+    fn note_end(&self, code: StatusCode, outcome: &str, took: Duration) {
+        let route = &self.call.route;
+        let is_late = took > route.objective;
+        let is_sampled = self.core.events.is_sampled(self.request_id().as_bytes());
+        if outcome == "answered" && !is_late && !is_sampled {
+            return;
+        }
+        if let Some(log) = self.core.events.admit(self.core.now(), EventCode(543)) {
+            slog::info!(log, "request ended"; "code" => 543, "request" => self.request_id(),
+                "route" => &*route.name, "service" => %self.call.service, "outcome" => outcome,
+                "status" => code.as_u16(), "late" => is_late, "took_ms" => took.as_millis(),
+                "objective_ms" => route.objective.as_millis(), "sends" => self.call.tried.len(),
+                "returning" => self.call.returning);
+        }
+    }
+
     fn request_id(&self) -> &str {
         self.notes.attempt.as_ref().and_then(|v| v.to_str().ok()).unwrap_or("-")
     }
@@ -336,8 +354,8 @@
         if self.may_have_run {
             return (status(StatusCode::BAD_GATEWAY), "failed");
         }
-        if let Some(log) = self.core.events.admit(self.core.now(), EventCode(340)) {
-            slog::info!(log, "request refused"; "code" => 340, "request" => self.request_id(),
+        if let Some(log) = self.core.events.admit(self.core.now(), EventCode(542)) {
+            slog::info!(log, "request refused"; "code" => 542, "request" => self.request_id(),
                 "route" => &*self.call.route.name, "reason" => %refusal.reason,
                 "sends" => self.call.tried.len(), "returning" => self.call.returning,
                 "retry_after_ms" => refusal.retry_after.as_millis());
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -80,8 +80,8 @@
 }
 
 fn note_failure<D: Dialect>(core: &Core<D>, e: &io::Error) {
-    if let Some(log) = core.events.admit(core.now(), EventCode(915)) {
-        slog::debug!(log, "connection failed"; "code" => 915, "cause" => %e);
+    if let Some(log) = core.events.admit(core.now(), EventCode(570)) {
+        slog::debug!(log, "connection failed"; "code" => 570, "cause" => %e);
     }
 }
 
@@ -128,7 +128,7 @@
         Role::Metrics => match core.metrics.text() {
             Ok(text) => Response::new(Full::new(text.into())),
             Err(e) => {
-                slog::error!(core.events.logger(), "metrics cannot be written"; "code" => 916, "cause" => %e);
+                slog::error!(core.events.logger(), "metrics cannot be written"; "code" => 571, "cause" => %e);
                 directory::status(StatusCode::INTERNAL_SERVER_ERROR)
             }
         },
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -114,11 +114,11 @@
             Ok(Err(_)) | Err(_) => false,
         };
         if renewed && failing {
-            slog::info!(core.events.logger(), "key-value service answers again"; "code" => 911);
+            slog::info!(core.events.logger(), "key-value service answers again"; "code" => 561);
             regained.notify_waiters();
         }
         if !renewed && !failing {
-            slog::warn!(core.events.logger(), "key-value service does not answer"; "code" => 910);
+            slog::warn!(core.events.logger(), "key-value service does not answer"; "code" => 560);
         }
         failing = !renewed;
         tokio::select! {
@@ -129,7 +129,7 @@
     if let Some(lease) = lease
         && let Err(e) = store.end_lease(lease).await
     {
-        slog::warn!(core.events.logger(), "own entry was not deleted"; "code" => 912, "cause" => %e);
+        slog::warn!(core.events.logger(), "own entry was not deleted"; "code" => 562, "cause" => %e);
     }
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -138,8 +138,8 @@
     fn note_failure<D: Dialect>(&self, core: &Core<D>, e: &Unavailable) {
         let now = core.now();
         self.outage.set(Outage::Lasting);
-        if let Some(log) = core.events.admit(now, crate::eventlog::EventCode(913)) {
-            slog::warn!(log, "call to the key-value service failed"; "code" => 913, "cause" => %e);
+        if let Some(log) = core.events.admit(now, crate::eventlog::EventCode(563)) {
+            slog::warn!(log, "call to the key-value service failed"; "code" => 563, "cause" => %e);
         }
     }
 
@@ -178,7 +178,7 @@
         };
         if let Some(name) = entry.key.strip_prefix(MEMBER_PREFIX) {
             let member = entry.value.as_deref().and_then(|text| serde_json::from_str(text).ok());
-            slog::info!(core.events.logger(), "daemon listed"; "code" => 200, "member" => name,
+            slog::info!(core.events.logger(), "daemon listed"; "code" => 520, "member" => name,
                 "revision" => entry.revision.0, "lives" => member.is_some());
             core.members.borrow_mut().apply(name, member);
             return;
@@ -187,24 +187,24 @@
             Change::Plan(plan) => {
                 let version = plan.version;
                 let taken = core.steering.borrow_mut().apply_plan(*plan);
-                slog::info!(core.events.logger(), "configuration"; "code" => 100, "version" => version.0,
+                slog::info!(core.events.logger(), "configuration"; "code" => 510, "version" => version.0,
                     "revision" => entry.revision.0, "in_force" => taken);
             }
             Change::Server(id, Some(server)) => {
                 self.doubted.borrow_mut().remove(&id);
-                slog::info!(core.events.logger(), "backend server listed"; "code" => 300, "backend" => %id,
+                slog::info!(core.events.logger(), "backend server listed"; "code" => 530, "backend" => %id,
                     "revision" => entry.revision.0, "address" => %server.address, "leaving" => server.leaving,
                     "cold_ms" => server.cold_left.as_millis());
                 core.steering.borrow_mut().apply_server(server, core.now());
             }
             Change::Server(id, None) => self.server_gone(core, id, entry.revision),
             Change::Evacuation(domain, active) => {
-                slog::info!(core.events.logger(), "evacuation"; "code" => 110, "domain" => %domain,
+                slog::info!(core.events.logger(), "evacuation"; "code" => 511, "domain" => %domain,
                     "revision" => entry.revision.0, "active" => active);
                 core.steering.borrow_mut().set_evacuated(&domain, active, core.now());
             }
             Change::Unreadable(cause) => {
-                slog::warn!(core.events.logger(), "entry cannot be used"; "code" => 901, "key" => &*entry.key,
+                slog::warn!(core.events.logger(), "entry cannot be used"; "code" => 572, "key" => &*entry.key,
                     "revision" => entry.revision.0, "cause" => &*cause);
             }
             Change::Other => {}
@@ -215,7 +215,7 @@
         let now = core.now();
         let leaving = core.steering.borrow().server(&id).is_none_or(|s| s.entry.leaving);
         let doubt = !leaving && self.is_catching_up(now);
-        slog::info!(core.events.logger(), "backend server gone"; "code" => 301, "backend" => %id,
+        slog::info!(core.events.logger(), "backend server gone"; "code" => 531, "backend" => %id,
             "revision" => revision.0, "doubted" => doubt);
         if doubt {
             self.doubted.borrow_mut().entry(id).or_insert(now + RESTORED_WITHIN);
