Compute what holds for all servers once a placement

Cause: whether a request leaves slots free was computed anew for each candidate, over all servers: quadratic in the servers of a service. A link in the documentation was broken by the split.

Change: pressure and yielding are computed once a placement.

--- a/crates/state/src/steering/engine/call.rs
+++ b/crates/state/src/steering/engine/call.rs
@@ -92,7 +92,7 @@
 pub enum Decision {
     /// It is sent.
     Send(Choice),
-    /// It waits; [`Steering::ready`] tells when it is sent.
+    /// It waits; [`Steering::ready`](super::Steering::ready) tells when it is sent.
     Wait(Ticket),
     /// It is refused and has not run.
     Refuse(Refusal),
--- a/crates/state/src/steering/engine/choose.rs
+++ b/crates/state/src/steering/engine/choose.rs
@@ -50,6 +50,15 @@
 /// Part of a service's slots that its more urgent requests must take for slots to be kept for them.
 const URGENT_PART: f64 = 0.02;
 
+/// What holds for all servers of a service while one request is placed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FleetState {
+    /// How scarce slots are, from zero to one.
+    pressure: f64,
+    /// Whether the request leaves slots free for more urgent ones.
+    yields: bool,
+}
+
 /// A server that could take a request. Times are in seconds.
 pub(super) struct Candidate<'a> {
     server: &'a Server,
@@ -82,7 +91,7 @@
             return found;
         };
         let preferences = self.preferences(now, call, members);
-        let pressure = self.pressure(now, members);
+        let fleet = FleetState { pressure: self.pressure(now, members), yields: self.yields(now, call) };
         let mut regions: BTreeMap<&Region, bool> = BTreeMap::new();
         for id in members {
             let Some(server) = self.servers.get(id) else {
@@ -96,7 +105,7 @@
                 continue;
             }
             let rank = preferences.get(id).copied();
-            found.push(self.candidate(now, call, server, rank, pressure));
+            found.push(self.candidate(now, call, server, rank, fleet));
         }
         found
     }
@@ -171,7 +180,7 @@
         call: &Call,
         server: &'a Server,
         rank: Option<usize>,
-        pressure: f64,
+        fleet: FleetState,
     ) -> Candidate<'a> {
         let occupancy = server.occupancy(now);
         let slots = f64::from(server.entry.slots.max(1));
@@ -194,8 +203,8 @@
         let risk = server.failing(now) * 2.0 * call.route.objective.as_secs_f64();
         let latency = self.round_trip(server).as_secs_f64() + wait + work;
         let trial = if is_untried { TRIAL_BONUS.as_secs_f64() } else { 0.0 };
-        let cost = latency + crowding + risk + work * pressure * PRESSURE_PRICE - trial;
-        let places = if self.yields(now, call) && server.entry.slots > RESERVED_SLOTS {
+        let cost = latency + crowding + risk + work * fleet.pressure * PRESSURE_PRICE - trial;
+        let places = if fleet.yields && server.entry.slots > RESERVED_SLOTS {
             f64::from(server.entry.slots - RESERVED_SLOTS)
         } else {
             slots + QUEUE_AT_SERVER
