Name the remaining figures of the steering engine

Cause: costs, guesses and times stood as bare numbers; the spacing of returns divided by three, the slots of today's servers.

Change: named constants with their units; the spacing uses the slots that the servers have.

Conclusion: no decision changes on servers of three slots.

--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -14,7 +14,7 @@
 mod times;
 
 pub use call::{Call, Choice, Decision, Outcome, Reason, Refusal, Ticket};
-use times::{Demand, Mean, RouteTimes};
+use times::{Demand, INTERVAL_GUESS, Mean, RUN_GUESS, RouteTimes};
 
 use crate::id::{Backend, Domain, Region, Service};
 use crate::steering::affinity::ObjectId;
@@ -36,6 +36,15 @@
 /// Shortest time for which the number of daemons in a region is remembered, since one that was lost may still send.
 const DAEMONS_MEMORY: Duration = Duration::from_secs(60);
 
+/// Part of the longest time that callers of a route give, below which a caller is taken to come back.
+const FRESH_PART: f64 = 0.97;
+
+/// Time for which a request is handled if neither its caller nor its route sets one.
+const PATIENCE_DEFAULT: Duration = Duration::from_secs(60);
+
+/// Pace of a server that did not answer in time, relative to what was expected of it.
+const SILENT_PACE: f64 = 2.0;
+
 /// What a daemon knows of itself and the bounds that it keeps.
 #[derive(Debug, Clone)]
 pub struct SteeringConfig {
@@ -240,12 +249,12 @@
         let given = patience.unwrap_or(times.longest_deadline);
         times.longest_deadline = times.longest_deadline.max(given);
         // A caller that comes back has less time left than the others of its route.
-        let returning = given.as_secs_f64() < 0.97 * times.longest_deadline.as_secs_f64();
+        let returning = given.as_secs_f64() < FRESH_PART * times.longest_deadline.as_secs_f64();
         let limit = match (patience, route.timeout) {
             (Some(p), Some(t)) => p.min(t),
             (Some(p), None) => p,
             (None, Some(t)) => t,
-            (None, None) => Duration::from_secs(60),
+            (None, None) => PATIENCE_DEFAULT,
         };
         let work = times.warm.value;
         let state = self.service_state(&service, now);
@@ -268,14 +277,14 @@
 
     fn service_state(&mut self, service: &Service, now: Timestamp) -> &mut ServiceState {
         self.services.entry(service.clone()).or_insert_with(|| ServiceState {
-            run: Mean::new(0.2),
+            run: Mean::new(RUN_GUESS),
             budget: RetryBudget::default(),
             returns: ReturnSchedule::default(),
             waiting: BTreeMap::new(),
             objects: BTreeMap::new(),
             demand: BTreeMap::new(),
             released: now,
-            interval: Mean::new(0.05),
+            interval: Mean::new(INTERVAL_GUESS),
         })
     }
 
@@ -313,8 +322,7 @@
             Outcome::Misdirected => server.misdirected(),
             Outcome::Garbled => server.answered(now, None, false),
             Outcome::Silent => {
-                let ratio = Some(2.0);
-                server.answered(now, ratio, false);
+                server.answered(now, Some(SILENT_PACE), false);
             }
             Outcome::NotConnected | Outcome::Broken => {
                 if server.failed(now) {
--- a/crates/state/src/steering/engine/choose.rs
+++ b/crates/state/src/steering/engine/choose.rs
@@ -10,7 +10,7 @@
 use crate::steering::affinity::score;
 use crate::steering::engine::Steering;
 use crate::steering::engine::call::{Call, Choice};
-use crate::steering::engine::times::Demand;
+use crate::steering::engine::times::{Demand, RUN_GUESS};
 use crate::steering::server::Server;
 use crate::steering::warmup::allowance;
 use crate::time::Timestamp;
@@ -41,6 +41,15 @@
 /// Price of slot time relative to the caller's own time when all slots are taken.
 const PRESSURE_PRICE: f64 = 2.0;
 
+/// Cost of a full server beside its wait, relative to a run: the estimate of its load may be too low.
+const CROWDING: f64 = 0.1;
+
+/// Cost of a server all of whose answers fail, in objectives of the route.
+const FAILURE_COST: f64 = 2.0;
+
+/// Error of the estimate of a server's load up to which it counts as having room, in requests.
+const OCCUPANCY_TOLERANCE: f64 = 0.5;
+
 /// Requests that may wait at a server beyond its slots. The reports lag, so the last place is often free.
 const QUEUE_AT_SERVER: f64 = 1.0;
 
@@ -153,6 +162,7 @@
         ranks
     }
 
+    /// Whether a request may be sent to a server, whatever its load.
     pub(super) fn is_eligible(&self, now: Timestamp, call: &Call, server: &Server) -> bool {
         let entry = &server.entry;
         let at_home = call.route.homes.is_empty() || call.route.homes.contains(&entry.region);
@@ -174,6 +184,7 @@
         server.warmup.allows(now, allowance(limit, self.region_daemons))
     }
 
+    /// What it would cost to send a request to a server that is number `rank` in the preference list of its object.
     pub(super) fn candidate<'a>(
         &self,
         now: Timestamp,
@@ -184,7 +195,7 @@
     ) -> Candidate<'a> {
         let occupancy = server.occupancy(now);
         let slots = f64::from(server.entry.slots.max(1));
-        let run = self.services.get(&call.service).map_or(0.2, |s| s.run.value);
+        let run = self.services.get(&call.service).map_or(RUN_GUESS, |s| s.run.value);
         let over = (occupancy + 1.0 - slots).max(0.0);
         let wait = run * over / slots;
         let warm = call.route.affinity && server.warm.contains(call.object);
@@ -199,8 +210,8 @@
         let work = self.work(call, likely)
             * server.pace(now)
             * if server.is_cold(now) { STARTING_RATIO } else { 1.0 };
-        let crowding = run * 0.1 * (occupancy / slots).powi(2);
-        let risk = server.failing(now) * 2.0 * call.route.objective.as_secs_f64();
+        let crowding = run * CROWDING * (occupancy / slots).powi(2);
+        let risk = server.failing(now) * FAILURE_COST * call.route.objective.as_secs_f64();
         let latency = self.round_trip(server).as_secs_f64() + wait + work;
         let trial = if is_untried { TRIAL_BONUS.as_secs_f64() } else { 0.0 };
         let cost = latency + crowding + risk + work * fleet.pressure * PRESSURE_PRICE - trial;
@@ -209,7 +220,7 @@
         } else {
             slots + QUEUE_AT_SERVER
         };
-        let has_room = occupancy + 1.0 <= places + 0.5;
+        let has_room = occupancy + 1.0 <= places + OCCUPANCY_TOLERANCE;
         Candidate { server, latency, cost, wait, has_room, warm, occupancy }
     }
 
@@ -231,6 +242,7 @@
         urgent * self.daemons as f64 > URGENT_PART * f64::from(slots)
     }
 
+    /// Expected work in seconds at a server that is warm with the probability `warm`.
     pub(super) fn work(&self, call: &Call, warm: f64) -> f64 {
         let Some(times) = self.times.get(&call.route.name) else {
             return call.route.objective.as_secs_f64();
@@ -238,6 +250,7 @@
         warm * times.warm.value + (1.0 - warm) * times.cold.value
     }
 
+    /// Time to a server and back.
     pub(super) fn round_trip(&self, server: &Server) -> Duration {
         if server.entry.domain == self.cfg.domain {
             return self.cfg.round_trips.domain;
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -3,7 +3,6 @@
 //! A request that cannot be served in time is refused at once. Only requests that are expected to be served wait, and
 //! the most urgent ones leave the queue first.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::id::Service;
@@ -22,6 +21,9 @@
 /// than early relative to the estimate, and an answer that is late delays others too.
 const LATENESS_ACCEPTED: f64 = 0.9;
 
+/// Time after which a caller may come back when no server is usable. Servers are checked several times in it.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(300);
+
 impl Steering {
     /// Places a request, for the first time or again after a send that did not run it or that may be repeated.
     pub fn place(&mut self, now: Timestamp, call: &Call) -> Decision {
@@ -56,7 +58,7 @@
                 }
                 self.enqueue(now, call)
             }
-            None => self.refuse(now, call, Reason::NoServer, Duration::from_millis(300)),
+            None => self.refuse(now, call, Reason::NoServer, NO_SERVER_RETRY),
         }
     }
 
@@ -82,10 +84,12 @@
 
     fn refuse(&mut self, now: Timestamp, call: &Call, reason: Reason, room: Duration) -> Decision {
         let patience = call.deadline.since(now).mul_f64(RETURN_WITHIN);
-        let servers = self.members.get(&call.service).map_or(1, BTreeSet::len).max(1) as f64;
+        let members = self.members.get(&call.service).into_iter().flatten();
+        let slots: u32 = members.filter_map(|id| self.servers.get(id)).map(|s| s.entry.slots).sum();
+        // All daemons give turns on the same slots.
         let daemons = self.daemons as f64;
         let state = self.service_state(&call.service, now);
-        let spacing = Duration::from_secs_f64(state.run.value / servers * daemons / 3.0);
+        let spacing = Duration::from_secs_f64(state.run.value * daemons / f64::from(slots.max(1)));
         let retry_after = state.returns.turn(now, room, spacing, patience);
         Decision::Refuse(Refusal { reason, retry_after })
     }
@@ -111,6 +115,7 @@
         wait <= 0.0 || call.returning || elapsed + latency <= limit
     }
 
+    /// Expected wait in seconds of a request with `ahead` others before it.
     fn queue_wait(&self, call: &Call, ahead: usize) -> f64 {
         self.services.get(&call.service).map_or(0.0, |s| s.interval.value * (ahead + 1) as f64)
     }
@@ -149,7 +154,7 @@
                     continue;
                 }
                 Some(_) => self.refuse(now, &call, Reason::Overload, Duration::ZERO),
-                None => self.refuse(now, &call, Reason::NoServer, Duration::from_millis(300)),
+                None => self.refuse(now, &call, Reason::NoServer, NO_SERVER_RETRY),
             };
             if let Some(state) = self.services.get_mut(service) {
                 state.waiting.remove(&ticket);
--- a/crates/state/src/steering/engine/times.rs
+++ b/crates/state/src/steering/engine/times.rs
@@ -5,6 +5,12 @@
 use crate::steering::plan::Route;
 use crate::time::Timestamp;
 
+/// Guess of the run of a request in seconds, until it has been measured.
+pub(super) const RUN_GUESS: f64 = 0.2;
+
+/// Guess of the time in seconds between two requests that a daemon sends to a service.
+pub(super) const INTERVAL_GUESS: f64 = 0.05;
+
 /// Work on a cold object relative to a warm one, until both have been measured.
 const COLD_RATIO: f64 = 3.0;
 
