Read load reports with a fourth figure

Cause: backend servers of the sponsorship deployment report a fourth figure, the duration of work on their machine. parse_load accepted exactly three, so every report was dropped and a daemon knew only its own load.

Change: the fourth figure is read as a Slowdown; an invalid one is ignored and leaves the other three. The latency factor of a server becomes a geometric mean, so that one request with exceptionally long work does not drive its object from a warm server.

--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -31,4 +31,4 @@
     Call, Decision, QueueTicket, Refusal, SelectedBackend, SendOutcome, Steering, SteeringConfig,
 };
 pub use plan::{ClientLimits, Plan, Route, ServiceSpec};
-pub use server::{BackendEntry, LoadReport};
+pub use server::{BackendEntry, LoadReport, Slowdown};
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::id::{Backend, Domain, Region, Service};
 use crate::steering::affinity::{WarmSet, server_hash};
 use crate::steering::warmup::WarmupWindow;
@@ -33,6 +35,9 @@
 /// Maximum backoff after connection failures.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Maximum ratio that is accepted in a [`Slowdown`].
+const MAX_SLOWDOWN: f64 = 1_000.0;
+
 /// A backend server as listed by the platform.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BackendEntry {
@@ -57,8 +62,25 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// Duration of work on the machine of a server at one moment, as a ratio to the usual duration.
+#[derive(Debug, Clone, Copy, PartialEq, Display)]
+pub struct Slowdown(f64);
+
+impl Slowdown {
+    /// Returns `None` unless `ratio` is a positive number of at most 1,000. Other ratios are invalid reports.
+    ///
+    /// ```
+    /// use medlarstair_state::steering::Slowdown;
+    /// assert_eq!(Slowdown::from_ratio(1.5).unwrap().to_string(), "1.5");
+    /// assert_eq!(Slowdown::from_ratio(0.0), None);
+    /// ```
+    pub fn from_ratio(ratio: f64) -> Option<Self> {
+        (ratio > 0.0 && ratio <= MAX_SLOWDOWN).then_some(Self(ratio))
+    }
+}
+
 /// Load reported by a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
     /// Number of requests that the server is running.
     pub running: u32,
@@ -66,6 +88,8 @@
     pub waiting: u32,
     /// Number of requests that it can run concurrently.
     pub slots: u32,
+    /// Duration of work on its machine. `None` if not reported.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Exponential decay: the fraction of a value that remains after `age`.
@@ -217,7 +241,8 @@
     pub fn record_response(&mut self, now: Timestamp, ratio: Option<f64>, ok: bool) {
         let (latency_factor, failure_rate) = (self.latency_factor(now), self.failure_rate(now));
         let ratio = ratio.unwrap_or(latency_factor).clamp(LATENCY_FACTOR_RANGE.0, LATENCY_FACTOR_RANGE.1);
-        self.latency_factor = latency_factor + (ratio - latency_factor) * SAMPLE_WEIGHT;
+        // A geometric mean, because a single request with exceptionally long work says little about its server.
+        self.latency_factor = latency_factor * (ratio / latency_factor).powf(SAMPLE_WEIGHT);
         self.failure_rate = failure_rate + (f64::from(u8::from(!ok)) - failure_rate) * SAMPLE_WEIGHT;
         self.last_sample_at = now;
         self.consecutive_failures = 0;
--- a/crates/state/tests/steering_support/mod.rs
+++ b/crates/state/tests/steering_support/mod.rs
@@ -325,6 +325,7 @@
                     running: server.running.len() as u32 + 1,
                     waiting: server.waiting.len() as u32,
                     slots: SLOTS as u32,
+                    slowdown: None,
                 };
                 let steering = &mut self.daemons[job.daemon];
                 steering.record_load(now, &job.selected.backend, load);
