Keep objects at their home and advertise fewer daemons on large fleets

Objects of a region that is too small moved away and back with its load and were cold after each move. On the large fleet 117 daemons shared the load, so each heard from a server about every 18 s, reused few connections, and called the key-value service again 400 ms after each batch of changes.

Change: home regions follow a demand that rises within a second and falls over half a minute (steering::home_demand). A region advertises only its daemons of at least half the largest capacity if these have 40 % of it. Changes are gathered for a quarter of the tightest limit on propagation, which the settings now give (config_apply, drain).

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -19,6 +19,9 @@
 
 use crate::eventlog::LogLimits;
 
+/// Time within which a change must take effect if the settings give no limit.
+const DEFAULT_MAX_CHANGE_DELAY: Duration = Duration::from_secs(2);
+
 /// Settings of a daemon.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -45,6 +48,9 @@
     pub store_address: SocketAddr,
     /// Grace period of a shutdown: the process must exit within it after the termination signal.
     pub grace_period: Duration,
+    /// Time within which a change in the key-value service must take effect: the smaller one of the limits for the
+    /// configuration and for leaving backend servers.
+    pub max_change_delay: Duration,
     /// Maximum fraction of the requests that may move between regions from one window to the next.
     pub max_shift: f64,
     /// Limits on retries to backend servers.
@@ -141,6 +147,8 @@
     let capacity = read_capacity(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
+    let config_apply = r.optional::<DurationText>("limits", "config_apply");
+    let drain = r.optional::<DurationText>("limits", "drain");
     let max_shift = r.required("limits", "max_shift");
     let ratio = r.required("limits", "retry_ratio");
     let window = r.required::<DurationText>("limits", "retry_window");
@@ -165,6 +173,12 @@
         capacity,
         store_address: store?,
         grace_period: grace?.0,
+        max_change_delay: [config_apply, drain]
+            .into_iter()
+            .flatten()
+            .map(|limit| limit.0)
+            .min()
+            .unwrap_or(DEFAULT_MAX_CHANGE_DELAY),
         max_shift: max_shift?,
         retries: RetryLimits { ratio: ratio?, window: window?.0, slack: slack? },
         cold_overrun: cold_overrun?,
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -22,9 +22,9 @@
 /// Timeout of a watch, after which it returns without changes. Each watch counts as a billed call, so the timeout is long.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Delay before the next watch after one that returned changes, so that changes in quick succession are batched into one
-/// call.
-const BATCH_DELAY: Duration = Duration::from_millis(400);
+/// Delay before the next watch after one that returned changes, as a fraction of the time in which a change must take
+/// effect. Changes in quick succession are batched into one call, and there is time for several retries of it.
+const BATCH_DELAY_FRACTION: f64 = 0.25;
 
 /// Backoff after the first failed call. It doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -132,7 +132,7 @@
                     let has_changes = !listing.entries.is_empty();
                     self.apply_all(shared, listing);
                     if has_changes {
-                        sleep(BATCH_DELAY).await;
+                        sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
                 }
                 Err(e) => {
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -1,11 +1,26 @@
 //! Validation of the settings of a gateway daemon.
 
+use std::time::Duration;
+
 use medlarstair_gateway::Config;
 
 const VALID: &str = "[node]\nname = n\nregion = seq\ndomain = seq-a\n[domains]\nseq-a = seq\n[listen]\n\
     callers = 127.0.0.1:1\nready = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n[limits]\ngrace = 6s\n\
     max_shift = 0.15\nretry_ratio = 0.2\nretry_window = 10s\nretry_slack = 60\ncold_overrun = 1.5\ncold_slack = 5\n";
 
+/// Guards against daemons that follow changes more slowly than the tightest limit allows.
+#[test]
+fn the_tightest_limit_decides_how_fast_changes_are_followed() {
+    for (settings, expected) in [
+        ("", Duration::from_secs(2)),
+        ("config_apply = 3s\n", Duration::from_secs(3)),
+        ("config_apply = 3s\ndrain = 2500ms\n", Duration::from_millis(2_500)),
+    ] {
+        let text = VALID.replace("[limits]\n", &format!("[limits]\n{settings}"));
+        assert_eq!(Config::parse(&text).unwrap().max_change_delay, expected, "{settings}");
+    }
+}
+
 /// Guards against settings that are accepted although a value is missing, invalid, unknown or duplicated, and against errors
 /// that do not name the key.
 #[test]
@@ -14,6 +29,8 @@
     for (from, to, key) in [
         ("name = n\n", "", "[node] name"),
         ("grace = 6s", "grace = 6", "[limits] grace"),
+        ("[limits]\n", "[limits]\nconfig_apply = soon\n", "[limits] config_apply"),
+        ("[limits]\n", "[limits]\ndrain = 2\n", "[limits] drain"),
         ("store = 127.0.0.1:3", "store = store.example", "[platform] store"),
         ("max_shift = 0.15", "max_shift = much", "[limits] max_shift"),
         ("[node]\n", "[node]\ncolour = red\n", "[node] colour"),
--- a/crates/state/src/steering/capacity.rs
+++ b/crates/state/src/steering/capacity.rs
@@ -1,8 +1,11 @@
 //! Selection of the daemons that are advertised to clients.
 //!
 //! The VMs of a deployment differ in size. A few large responses saturate the link of a small VM, and its clients wait
-//! for the link. While the larger daemons of a region can carry its load, only these are advertised. With fewer daemons
-//! in use, each also observes a larger part of the load, which makes its load estimates better.
+//! for the link. While the larger daemons of a region can carry its load, only these are advertised.
+//!
+//! Load pattern: many daemons in front of many servers. A daemon learns the load of a server only from the responses to
+//! its own requests, so its estimates are as old as the time between two of them. With fewer daemons in use, each
+//! observes a larger part of the load, reuses its connections more often, and has a larger part of each shared limit.
 
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
@@ -24,10 +27,10 @@
 const MEGABITS_PER_REQUEST: f64 = 0.1;
 
 /// Capacity, as a fraction of that of the largest daemon, below which a daemon is held in reserve.
-const MIN_FRACTION_OF_LARGEST: f64 = 1.0 / 3.0;
+const MIN_FRACTION_OF_LARGEST: f64 = 0.5;
 
 /// Minimum fraction of the capacity of a region that the advertised daemons must have.
-const MIN_ADVERTISED_FRACTION: f64 = 0.5;
+const MIN_ADVERTISED_FRACTION: f64 = 0.4;
 
 /// Minimum number of daemons for which the rest of a region is held in reserve, so that the loss of one leaves others.
 const MIN_ADVERTISED_DAEMONS: usize = 3;
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -22,6 +22,7 @@
 
 use crate::id::{Backend, Domain, Region, Service};
 use crate::steering::affinity::{ObjectId, server_hash};
+use crate::steering::home_demand::HomeDemand;
 use crate::steering::plan::{Plan, PlanVersion, Priority, Route};
 use crate::steering::poison::{Crash, Fingerprint, PoisonList};
 use crate::steering::region_shift::RegionShiftLimiter;
@@ -119,9 +120,17 @@
     /// Time of the latest request for each object in use.
     objects: BTreeMap<ObjectId, Timestamp>,
     demand: BTreeMap<Priority, SlotDemand>,
+    home_demand: HomeDemand,
     dispatch_rates: BTreeMap<Priority, DispatchRate>,
 }
 
+impl ServiceState {
+    /// Average number of slots that the requests of this daemon use.
+    fn slots_in_use(&self, now: Timestamp) -> f64 {
+        self.demand.values().map(|demand| demand.slots_since_start(now)).sum()
+    }
+}
+
 /// The load balancer of a daemon that forwards requests.
 #[derive(Debug)]
 pub struct Steering {
@@ -342,6 +351,7 @@
             queue: BTreeMap::new(),
             objects: BTreeMap::new(),
             demand: BTreeMap::new(),
+            home_demand: HomeDemand::default(),
             dispatch_rates: BTreeMap::new(),
         })
     }
@@ -466,6 +476,7 @@
         for state in self.services.values_mut() {
             state.retry_budget.expire(now, &limits);
             state.objects.retain(|_, at| now.since(*at) < OBJECT_RETENTION);
+            state.home_demand.update(now, state.slots_in_use(now));
         }
     }
 }
--- a/crates/state/src/steering/engine/selection.rs
+++ b/crates/state/src/steering/engine/selection.rs
@@ -232,10 +232,10 @@
         preferences: &[RegionPreference<'a>],
     ) -> Option<&'a Region> {
         let own = preferences.iter().find(|p| *p.region == self.cfg.region);
-        let needed = self.services.get(&call.service).map_or(0.0, |state| {
-            let slots: f64 = state.demand.values().map(|demand| demand.slots_since_start(now)).sum();
-            slots * self.sharing_load as f64
-        });
+        let needed = self
+            .services
+            .get(&call.service)
+            .map_or(0.0, |state| state.home_demand.slots(state.slots_in_use(now)) * self.sharing_load as f64);
         let available = own.map_or(0.0, |own| own.slots * MAX_HOME_LOAD_FRACTION);
         if own.is_some() && needed * (1.0 - unit_interval(score(OVERFLOW_SEED, call.object))) <= available {
             return own.map(|own| own.region);
--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -7,6 +7,7 @@
 //! - [`server`]: the estimated state of a backend server: entry, load, latency factor, failure rate, warm-up.
 //! - [`affinity`]: which server holds the state of an object, so that repeated work finds it cached.
 //! - [`round_robin`]: weighted distribution of the requests of a route over services, without sampling error.
+//! - [`home_demand`]: the demand by which objects are assigned to regions, steady while the load varies.
 //! - [`region_shift`]: limits how fast traffic moves between regions.
 //! - [`warmup`]: limits the request rate to a cold server, over all daemons.
 //! - [`retries`]: limits retries, so that they cannot amplify an overload.
@@ -18,6 +19,7 @@
 pub mod affinity;
 pub mod capacity;
 pub mod engine;
+pub mod home_demand;
 pub mod plan;
 pub mod poison;
 pub mod region_shift;
--- a/crates/state/tests/steering.rs
+++ b/crates/state/tests/steering.rs
@@ -14,6 +14,7 @@
 use medlarstair_state::steering::retries::{RetryBudget, RetryLimits};
 use medlarstair_state::steering::retry_after::RetryAfterSchedule;
 use medlarstair_state::steering::round_robin::WeightedRoundRobin;
+use medlarstair_state::steering::server::Server;
 use medlarstair_state::steering::warmup::{WarmupWindow, allowance};
 use medlarstair_state::steering::{ClientLimits, Decision, Plan, QueueTicket, SendOutcome};
 use medlarstair_state::time::Timestamp;
@@ -437,6 +438,17 @@
     }
 }
 
+/// Guards against a single request with exceptionally long work that drives its object from a warm server, and against a
+/// slow server that is not recognized.
+#[test]
+fn one_long_request_does_not_make_a_server_slow() {
+    let mut server = Server::new(entry(0, "near"), ms(0));
+    server.record_response(ms(0), Some(7.0), true);
+    assert!(server.latency_factor(ms(0)) < 2.0);
+    (1..8).for_each(|n| server.record_response(ms(n), Some(7.0), true));
+    assert!(server.latency_factor(ms(8)) > 5.0);
+}
+
 /// Guards against the metastable overload in which objects spread over cold servers. The fleet then served a quarter of
 /// its capacity, on the `scale` days of both deployments.
 #[test]
