Catch up without delay after an outage of the key-value service

Cause: the service returns at most 500 changes per watch, and the daemon waited after each response to gather further ones.

Change: a response with 256 changes or more is followed by the next watch at once.

--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -26,6 +26,10 @@
 /// effect. Changes in quick succession are batched into one call, and there is time for several retries of it.
 const BATCH_DELAY_FRACTION: f64 = 0.25;
 
+/// Number of changes in one response from which the service may have held back further ones. The next watch then follows
+/// without delay: after an outage, a delay after each of many full responses would add up to several seconds.
+const FULL_RESPONSE_CHANGES: usize = 256;
+
 /// Backoff after the first failed call. It doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -129,9 +133,9 @@
                     backoff = MIN_BACKOFF;
                     self.record_success(shared.now());
                     *after = listing.revision.max(*after);
-                    let has_changes = !listing.entries.is_empty();
+                    let may_be_batched = (1..FULL_RESPONSE_CHANGES).contains(&listing.entries.len());
                     self.apply_all(shared, listing);
-                    if has_changes {
+                    if may_be_batched {
                         sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
                 }
