Review: show that a removed target gets requests for longer than drain

Cause: after one failed watch, the store's next change is taken for a leftover of an outage, however much later it comes. A target whose entry is removed in it is used for another 2.2 s; drain is 2 s.

The script cuts a waiting watch once and removes a target 4.5 s later.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -5,6 +5,7 @@
 //! `TROUBLE=0` the disruption is left out. Only the standard library is used.
 
 mod common;
+mod drain;
 mod http;
 mod json;
 mod store;
@@ -262,6 +263,7 @@
 fn find(name: &str) -> Option<fn(&Arc<Rig>) -> bool> {
     match name {
         "twice" => Some(twice::play),
+        "drain" => Some(drain::play),
         _ => None,
     }
 }
