Review: show that one lost answer to a watch leaves an old configuration in force

Cause: a watch is waited for up to 11.5 s, and nothing else notices that its answer was lost, because renewals of the lease use other connections.

The script loses one answer to a watch. 3.6 s later, a new version moves a route to another service.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod http;
 mod json;
+mod lostwatch;
 mod store;
 mod target;
 mod twice;
@@ -264,6 +265,7 @@
     match name {
         "twice" => Some(twice::play),
         "drain" => Some(drain::play),
+        "lostwatch" => Some(lostwatch::play),
         _ => None,
     }
 }
