Review: show that a crashing request without an affinity key is never stopped

Cause: the fingerprint of a request includes its object, which is derived from the X-Attempt-Id if there is no affinity key. Copies of the request then have different fingerprints, and their crashes are not added up.

The script sends a look-up that crashes each target which runs it, twelve times.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod lostwatch;
+mod poison;
 mod store;
 mod target;
 mod twice;
@@ -266,6 +267,7 @@
         "twice" => Some(twice::play),
         "drain" => Some(drain::play),
         "lostwatch" => Some(lostwatch::play),
+        "poison" => Some(poison::play),
         _ => None,
     }
 }
