Review: show that a client which pauses while it reads loses its answer

Cause: TCP_USER_TIMEOUT of 1.5 s is also set on connections of clients. It ends a connection on which data waits for a peer that is alive but does not read.

The script's client stops reading a download for 1.9 s, inside its deadline of 2 s, on a kept connection.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod lostwatch;
+mod pause;
 mod poison;
 mod store;
 mod target;
@@ -268,6 +269,7 @@
         "drain" => Some(drain::play),
         "lostwatch" => Some(lostwatch::play),
         "poison" => Some(poison::play),
+        "pause" => Some(pause::play),
         _ => None,
     }
 }
