--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -39,7 +39,9 @@
     let (front, seen) = (daemon.front, Arc::clone(&ledger));
     let sent_at: Arc<Mutex<BTreeMap<String, f64>>> = Arc::default();
     let sending = Arc::clone(&sent_at);
-    let clients = load(rig, 8, begin + 14.0, Duration::from_millis(60), move |rig, n| {
+    let clients = load(rig, 12, begin + 14.0, Duration::from_millis(60), move |rig, n| {
+        // Without this, all clients would send in step.
+        thread::sleep(Duration::from_millis(n * 37 % 90));
         let id = format!("{:016x}", 0x9c42_0000_u64 + n);
         sending.lock().unwrap().insert(id.clone(), rig.now());
         let answer = call(front, &order(&id, &(n % 24).to_string()));
@@ -57,7 +59,7 @@
     let acknowledged = rig.now();
     rig.note(&format!("the store accepts the removal of {}", leaving.id));
     // It goes on serving for `drain` and a little longer, and ends.
-    thread::sleep(Duration::from_millis(2_180));
+    thread::sleep(Duration::from_millis(2_220));
     leaving.end();
     rig.note(&format!("target {} has ended", leaving.id));
     join(clients);
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -6,6 +6,7 @@
 
 mod common;
 mod drain;
+mod endless;
 mod http;
 mod json;
 mod lostwatch;
@@ -38,8 +39,12 @@
     (text.strip_suffix('s').and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.0) * 1_000.0) as u64
 }
 
+pub fn wall_micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    wall_micros() / 1_000
 }
 
 /// What a case shares with its stand-ins.
@@ -270,6 +275,7 @@
         "drain" => Some(drain::play),
         "lostwatch" => Some(lostwatch::play),
         "poison" => Some(poison::play),
+        "endless" => Some(endless::play),
         "pause" => Some(pause::play),
         _ => None,
     }
