--- a/review/4/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] || exit 2
-exec target/review/rig lostwatch review/4
+exec target/review/rig drain review/3
