--- a/review/rig/lostwatch.rs
+++ b/review/rig/lostwatch.rs
@@ -27,7 +27,11 @@
                 t.answer(stream, &id, "done")
             };
         let target = Target::start(rig, &format!("{service}-{n}"), service, "muscat-a", Box::new(handler));
-        target.register("ready");
+        if n <= 3 {
+            target.register("ready");
+        } else {
+            target.register_cold();
+        }
         target
     };
     let _targets: Vec<Arc<Target>> =
--- a/review/rig/target.rs
+++ b/review/rig/target.rs
@@ -38,6 +38,10 @@
     /// Number of extra answers given.
     pub extras: AtomicU64,
     born: AtomicU64,
+    /// Unix milliseconds until which the target is cold.
+    cold_until: AtomicU64,
+    /// Requests that it is running.
+    running: AtomicU64,
     up: AtomicBool,
     open: Mutex<Vec<TcpStream>>,
     handler: Box<Handler>,
@@ -56,6 +60,8 @@
             answers: AtomicU64::new(0),
             extras: AtomicU64::new(0),
             born: AtomicU64::new(crate::wall_ms()),
+            cold_until: AtomicU64::new(0),
+            running: AtomicU64::new(0),
             up: AtomicBool::new(true),
             open: Mutex::default(),
             handler,
@@ -91,9 +97,10 @@
         while let Some(req) = read_message(&mut reader, false) {
             if req.path() == "/health" {
                 let text = format!(
-                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Cold-Ms: 0\r\nKeep-Alive: timeout=10\r\n\
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Cold-Ms: {}\r\nKeep-Alive: timeout=10\r\n\
                      Content-Length: 0\r\n\r\n",
-                    self.id
+                    self.id,
+                    self.cold_ms()
                 );
                 if reader.get_mut().write_all(text.as_bytes()).is_err() {
                     return;
@@ -112,7 +119,10 @@
                 );
                 continue;
             }
-            if (self.handler)(self, &req, reader.get_mut(), &mut state) == Then::Close {
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let then = (self.handler)(self, &req, reader.get_mut(), &mut state);
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            if then == Then::Close {
                 let _ = reader.get_ref().shutdown(Shutdown::Both);
                 return;
             }
@@ -123,16 +133,42 @@
     pub fn register(&self, state: &str) {
         let value = format!(
             "{{\"address\":\"{}\",\"info\":{{\"service\":\"{}\",\"config_version\":\"v1\",\"zone\":\"{}\",\
-             \"slots\":{}}},\"status\":{{\"state\":\"{state}\",\"seq_no\":1,\"cold_left\":\"0ms\"}},\"born\":{}}}",
+             \"slots\":{}}},\"status\":{{\"state\":\"{state}\",\"seq_no\":1,\"cold_left\":\"{}ms\"}},\"born\":{}}}",
             self.address,
             self.service,
             self.zone,
             self.slots,
+            self.cold_ms(),
             self.born.load(Ordering::SeqCst)
         );
         self.rig.store.put(&format!("servers/{}", self.id), &value);
     }
 
+    /// Registers the target after a start during traffic: it is cold for `cold_start`, and says so in each heartbeat.
+    pub fn register_cold(self: &Arc<Self>) {
+        const COLD_START_MS: u64 = 3_000;
+        const HEARTBEAT: Duration = Duration::from_millis(1_500);
+        let start = crate::wall_ms();
+        self.cold_until.store(start + COLD_START_MS, Ordering::SeqCst);
+        self.register("ready");
+        let target = Arc::clone(self);
+        thread::spawn(move || {
+            for _ in 0..2 {
+                thread::sleep(HEARTBEAT);
+                let is_same_start = target.cold_until.load(Ordering::SeqCst) == start + COLD_START_MS;
+                if !target.up.load(Ordering::SeqCst) || !is_same_start {
+                    return;
+                }
+                target.register("ready");
+            }
+        });
+    }
+
+    /// Milliseconds for which the target is still cold.
+    fn cold_ms(&self) -> u64 {
+        self.cold_until.load(Ordering::SeqCst).saturating_sub(crate::wall_ms())
+    }
+
     /// Ends: no listener is left, and all connections are broken off.
     pub fn end(&self) {
         self.up.store(false, Ordering::SeqCst);
@@ -159,7 +195,7 @@
             target.born.store(crate::wall_ms(), Ordering::SeqCst);
             target.up.store(true, Ordering::SeqCst);
             target.accept(listener);
-            target.register("ready");
+            target.register_cold();
             target.rig.note(&format!("target {} is back", target.id));
         });
     }
@@ -167,10 +203,13 @@
     /// Answers a request that ran to its end.
     pub fn answer(&self, stream: &mut TcpStream, attempt: &str, body: &str) -> Then {
         self.answers.fetch_add(1, Ordering::SeqCst);
+        let running = self.running.load(Ordering::SeqCst);
         let text = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: stamp.{}.{attempt}\r\n\
-             X-Server-Load: 1,0,{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Server-Load: {},{},{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
             self.id,
+            running.min(u64::from(self.slots)),
+            running.saturating_sub(u64::from(self.slots)),
             self.slots,
             body.len()
         );
