Believe a rejection only if it has the ID of the request

Callers saw orders that were posted twice, and 503 ("not run") for orders that had run.

Cause: the gateway compared the ID of the attempt in all responses but 421 and those marked as not run. These are the only responses after which a non-idempotent request is sent again. A server that repeated the rejection of an earlier request on a kept connection, while it ran the next one, made that one run on a second server.

Change: a response with another ID is invalid, whatever it says. The connection is closed; idempotent requests go to another server, all others end with 502. BackendClient takes "not run" without the ID for a broken response.

The case "not run" of the BackendClient test got the ID, and the response without it is a case of its own, which must not be believed.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -356,7 +356,9 @@
             Err(_) => return SendResult::Unknown(SendOutcome::TimedOut),
         };
         let metadata = shared.adapter.parse_response(response.head.status, &response.head.headers);
-        if !metadata.misdirected && !metadata.not_run && metadata.attempt_id != self.metadata.attempt_id {
+        // A rejection counts as one only for this request: a server may repeat that of an earlier request while it runs
+        // this one.
+        if metadata.attempt_id != self.metadata.attempt_id {
             return SendResult::Unknown(SendOutcome::InvalidResponse);
         }
         shared.pool.borrow_mut().put(shared.now(), &choice.backend, connection, &response.head.headers);
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection carries one request at a time and is closed after a timeout, a cancellation or an error, so that a late
 //! response is never attributed to the next request. A response counts as complete only if it has a `Content-Length` or
-//! chunked encoding and was received up to that end.
+//! chunked encoding and was received up to that end, and as a rejection only if it has the ID of the request.
 //!
 //! The client uses `hyper`, since `awc` reported a response with 5 of 50 announced bytes as complete; the test
 //! `only_complete_matching_responses_are_forwarded` checks this.
@@ -195,7 +195,12 @@
         return CallOutcome::Broken { head_received: true };
     }
     if res.headers().get(headers::OUTCOME).is_some_and(|o| o.as_bytes() == b"not-run") {
-        return CallOutcome::Shed;
+        // Without the ID this may repeat the rejection of an earlier request, while this one runs.
+        return if echoed.is_some() {
+            CallOutcome::Shed
+        } else {
+            CallOutcome::Broken { head_received: true }
+        };
     }
     let head = response_head(&res);
     let mut rest = res.into_body().into_data_stream();
--- a/crates/transport/tests/backend.rs
+++ b/crates/transport/tests/backend.rs
@@ -64,7 +64,7 @@
     expected: &'static str,
 }
 
-const CASES: [Case; 8] = [
+const CASES: [Case; 9] = [
     Case {
         name: "complete",
         response: Some("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole"),
@@ -98,12 +98,20 @@
     Case { name: "closed without a response", response: None, expected: "broken, head received: false" },
     Case {
         name: "not run",
-        response: Some("HTTP/1.1 503 Busy\r\nmedlar-outcome: not-run\r\ncontent-length: 0\r\n\r\n"),
+        response: Some(
+            "HTTP/1.1 503 Busy\r\nmedlar-request-id: 7\r\nmedlar-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+        ),
         expected: "shed",
     },
+    Case {
+        name: "not run, but not known to belong to the request",
+        response: Some("HTTP/1.1 503 Busy\r\nmedlar-outcome: not-run\r\ncontent-length: 0\r\n\r\n"),
+        expected: "broken, head received: true",
+    },
 ];
 
-/// Guards against a truncated response, or the response to another request, that is forwarded as the complete response.
+/// Guards against a truncated response, or the response to another request, that is forwarded as the complete response,
+/// and against a rejection of another request that makes a request run twice.
 #[actix_rt::test]
 async fn only_complete_matching_responses_are_forwarded() {
     for case in &CASES {
