Notice a lost response to a watch within the time for a change

Callers saw orders run by the service to which their route had led before, up to 4.5 s after the change.

Cause: the only watch of a daemon waited 10 s and timed out 1.5 s later. When its response was lost, the connection stayed open and silent, and renewals of the lease on other connections succeeded, so nothing restarted the watch. Event 563 ("deadline has elapsed") 11.5 s after the loss, without 560 and 561, shows it.

Change: a watch waits as long as a change may take to be in force (the smaller one of config_apply and drain), so a daemon is blind for at most that time and the timeout of a call. A limit of zero is refused by the settings, as it would make the daemon call without a pause.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -147,8 +147,8 @@
     let capacity = read_capacity(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
-    let config_apply = r.optional::<DurationText>("limits", "config_apply");
-    let drain = r.optional::<DurationText>("limits", "drain");
+    let config_apply = read_change_delay(r, "config_apply");
+    let drain = read_change_delay(r, "drain");
     let max_shift = r.required("limits", "max_shift");
     let ratio = r.required("limits", "retry_ratio");
     let window = r.required::<DurationText>("limits", "retry_window");
@@ -176,7 +176,6 @@
         max_change_delay: [config_apply, drain]
             .into_iter()
             .flatten()
-            .map(|limit| limit.0)
             .min()
             .unwrap_or(DEFAULT_MAX_CHANGE_DELAY),
         max_shift: max_shift?,
@@ -188,6 +187,15 @@
     })
 }
 
+/// Reads a limit on the time within which a change must take effect.
+fn read_change_delay(r: &mut IniReader<'_>, key: &'static str) -> Option<Duration> {
+    let delay = r.optional::<DurationText>("limits", key)?.0;
+    if delay.is_zero() {
+        r.add_error("limits", key, "must be greater than zero");
+    }
+    Some(delay)
+}
+
 /// Estimates the capacity of the VM from its CPU share and link speed, which must be set together or not at all.
 fn read_capacity(r: &mut IniReader<'_>) -> Capacity {
     let mut positive = |key| -> Option<f64> {
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -19,8 +19,8 @@
 use crate::membership::{MEMBER_PREFIX, Member};
 use crate::shared::Shared;
 
-/// Timeout of a watch, after which it returns without changes. Each watch counts as a billed call, so the timeout is long.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Minimum timeout of a watch. Each watch counts as a billed call.
+const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Delay before the next watch after one that returned changes, as a fraction of the time in which a change must take
 /// effect. Changes in quick succession are batched into one call, and there is time for several retries of it.
@@ -121,8 +121,10 @@
     ) {
         let mut backoff = MIN_BACKOFF;
         loop {
+            // Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change may take.
+            let wait = shared.cfg.max_change_delay.max(MIN_WATCH_TIMEOUT);
             let watched = tokio::select! {
-                watched = store.watch("", *after, WATCH_TIMEOUT) => watched,
+                watched = store.watch("", *after, wait) => watched,
                 () = store_recovered.notified() => {
                     self.outage.set(Outage::Ongoing);
                     continue;
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -31,6 +31,8 @@
         ("grace = 6s", "grace = 6", "[limits] grace"),
         ("[limits]\n", "[limits]\nconfig_apply = soon\n", "[limits] config_apply"),
         ("[limits]\n", "[limits]\ndrain = 2\n", "[limits] drain"),
+        // With a delay of zero, a daemon would call the key-value service without a pause.
+        ("[limits]\n", "[limits]\ndrain = 0s\n", "[limits] drain"),
         ("store = 127.0.0.1:3", "store = store.example", "[platform] store"),
         ("max_shift = 0.15", "max_shift = much", "[limits] max_shift"),
         ("[node]\n", "[node]\ncolour = red\n", "[node] colour"),
