Tell the deletions of an outage from later ones by their revision

Callers got 502 for orders that were sent to a server up to 2.2 s after it had left, when it had already ended.

Cause: a deletion was deferred if it arrived within 300 ms of the first response after a failed call. A watch responds only when something changes, so after a cut watch or a short outage the next change was always taken for one of the outage, also seconds later. The same held after one lost renewal of the lease, and after the service had dropped its history.

Change: store_outage decides by revision. After a failure the next watch returns at once, and its revision bounds the changes of the outage; the time to restore an entry runs from that response. An outage counts from 2 s without any response, since entries expire only after several missed renewals. A failed renewal is repeated after 0.3 s instead of 0.9 s, so the end of an outage is noticed sooner.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pool;
 pub mod probe;
 pub mod shared;
+pub mod store_outage;
 pub mod store_watcher;
 
 pub use config::Config;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -32,6 +32,9 @@
 /// Interval between renewals of the lease, short enough that two of them may be lost.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
 
+/// Interval before a failed renewal is repeated. It bounds how late the end of an outage is noticed.
+const RENEWAL_RETRY_PERIOD: Duration = Duration::from_millis(300);
+
 /// Timeout for a renewal of the lease, including a report of crashes.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -142,6 +145,11 @@
             }
             Ok(Err(_)) | Err(_) => false,
         };
+        if renewed {
+            shared.store_outage.borrow_mut().record_response(shared.now());
+        } else {
+            shared.store_outage.borrow_mut().record_failure();
+        }
         if renewed && failing {
             slog::info!(shared.events.logger(), "key-value service answers again"; "code" => 561);
             store_recovered.notify_waiters();
@@ -150,8 +158,9 @@
             slog::warn!(shared.events.logger(), "key-value service does not answer"; "code" => 560);
         }
         failing = !renewed;
+        let period = if renewed { RENEWAL_PERIOD } else { RENEWAL_RETRY_PERIOD };
         tokio::select! {
-            () = sleep(RENEWAL_PERIOD) => {}
+            () = sleep(period) => {}
             () = shared.shutdown_started.notified() => {}
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::store_outage::StoreOutage;
 
 /// Phase in the lifetime of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +40,8 @@
     pub members: RefCell<Members>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
+    /// Outages of the key-value service that this daemon has observed.
+    pub store_outage: RefCell<StoreOutage>,
     /// Metrics that the daemon exports.
     pub metrics: Metrics,
     /// Rate-limited event log.
@@ -61,6 +64,7 @@
             steering,
             members: RefCell::new(Members::new(&cfg)),
             pool: RefCell::new(Pool::default()),
+            store_outage: RefCell::default(),
             metrics,
             events,
             shutdown_started: Notify::new(),
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -2,7 +2,7 @@
 //!
 //! A single listing followed by a single watch covers all keys. An older revision of a key never replaces a newer one.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,32 +36,11 @@
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Window after an outage of the service in which the changes made during the outage arrive. Deletions that arrive later
-/// take effect at once, because a server that leaves without notice must receive no new requests.
-const CATCH_UP_WINDOW: Duration = Duration::from_millis(300);
-
-/// Grace period in which a running server restores an entry that expired during an outage of the service. The server is
-/// removed if its entry is still missing after it.
-const ENTRY_RESTORE_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
-
-/// Availability of the service, as this daemon has observed it.
-#[derive(Debug, Clone, Copy, Default)]
-enum Outage {
-    /// No call has failed since the start.
-    #[default]
-    Never,
-    /// Calls are failing.
-    Ongoing,
-    /// A call succeeded at this time, for the first time after a failure.
-    Ended(Timestamp),
-}
-
 /// Applies the entries of the key-value service to the state of a daemon.
 #[derive(Debug, Default)]
 pub struct StoreWatcher {
     /// Revision of each key that exists, as last applied.
     revisions: RefCell<BTreeMap<Box<str>, Revision>>,
-    outage: Cell<Outage>,
     /// Servers whose entries were deleted during an outage, with the time at which they are removed.
     pending_removals: RefCell<BTreeMap<Backend, Timestamp>>,
 }
@@ -83,7 +62,7 @@
                     self.watch(&shared, &*store, &store_recovered, &mut after).await;
                 }
                 Err(e) => {
-                    self.record_failure(&shared, &e);
+                    record_failure(&shared, &e);
                     sleep(backoff).await;
                     backoff = (backoff * 2).min(MAX_BACKOFF);
                 }
@@ -99,7 +78,7 @@
         store: &S,
     ) -> Result<Revision, StoreError> {
         let listing = store.list("").await?;
-        self.record_success(shared.now());
+        shared.store_outage.borrow_mut().record_success(shared.now(), listing.revision);
         let present: BTreeSet<&str> = listing.entries.iter().map(|e| &*e.key).collect();
         let deleted: Vec<Box<str>> =
             self.revisions.borrow().keys().filter(|k| !present.contains(&***k)).cloned().collect();
@@ -121,60 +100,38 @@
     ) {
         let mut backoff = MIN_BACKOFF;
         loop {
-            // Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change may take.
-            let wait = shared.cfg.max_change_delay.max(MIN_WATCH_TIMEOUT);
             let watched = tokio::select! {
-                watched = store.watch("", *after, wait) => watched,
-                () = store_recovered.notified() => {
-                    self.outage.set(Outage::Ongoing);
-                    continue;
-                }
+                watched = store.watch("", *after, watch_timeout(shared)) => watched,
+                () = store_recovered.notified() => continue,
             };
             match watched {
                 Ok(listing) => {
                     backoff = MIN_BACKOFF;
-                    self.record_success(shared.now());
                     *after = listing.revision.max(*after);
-                    let may_be_batched = (1..FULL_RESPONSE_CHANGES).contains(&listing.entries.len());
+                    let changes = listing.entries.len();
+                    if changes < FULL_RESPONSE_CHANGES {
+                        shared.store_outage.borrow_mut().record_success(shared.now(), *after);
+                    }
                     self.apply_all(shared, listing);
-                    if may_be_batched {
+                    if (1..FULL_RESPONSE_CHANGES).contains(&changes) {
                         sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
                 }
                 Err(e) => {
-                    self.record_failure(shared, &e);
+                    record_failure(shared, &e);
                     if e.is_history_lost() {
                         return;
                     }
-                    sleep(backoff).await;
+                    tokio::select! {
+                        () = sleep(backoff) => {}
+                        () = store_recovered.notified() => {}
+                    }
                     backoff = (backoff * 2).min(MAX_BACKOFF);
                 }
             }
         }
     }
 
-    /// Records that a call failed, which begins or continues an outage.
-    fn record_failure<A: Adapter>(&self, shared: &Shared<A>, e: &StoreError) {
-        self.outage.set(Outage::Ongoing);
-        log_store_failure(shared, e);
-    }
-
-    /// Records that a call succeeded, which ends an outage.
-    fn record_success(&self, now: Timestamp) {
-        if matches!(self.outage.get(), Outage::Ongoing) {
-            self.outage.set(Outage::Ended(now));
-        }
-    }
-
-    /// Whether changes that arrive at `now` may date from an outage.
-    fn is_catching_up(&self, now: Timestamp) -> bool {
-        match self.outage.get() {
-            Outage::Never => false,
-            Outage::Ongoing => true,
-            Outage::Ended(since) => now.since(since) < CATCH_UP_WINDOW,
-        }
-    }
-
     /// Applies all entries of a listing, then the number of daemons.
     fn apply_all<A: Adapter>(&self, shared: &Shared<A>, listing: Listing) {
         for entry in listing.entries {
@@ -247,15 +204,15 @@
     fn server_deleted<A: Adapter>(&self, shared: &Shared<A>, id: Backend, revision: Revision) {
         let now = shared.now();
         let is_draining = shared.steering.borrow().server(&id).is_none_or(|s| s.entry.draining);
-        let is_deferred = !is_draining && self.is_catching_up(now);
+        let removal =
+            if is_draining { now } else { shared.store_outage.borrow().removal_time(now, revision) };
         slog::info!(shared.events.logger(), "backend server gone"; "code" => 531, "backend" => %id,
-            "revision" => revision.0, "doubted" => is_deferred);
-        if is_deferred {
-            self.pending_removals.borrow_mut().entry(id).or_insert(now + ENTRY_RESTORE_GRACE_PERIOD);
+            "revision" => revision.0, "doubted" => removal > now);
+        if removal > now {
+            self.pending_removals.borrow_mut().entry(id).or_insert(removal);
             return;
         }
-        shared.steering.borrow_mut().remove_server(&id, now);
-        shared.pool.borrow_mut().close(&id);
+        remove_server(shared, &id);
     }
 
     /// Removes servers whose entries were not restored within the grace period after an outage.
@@ -270,8 +227,28 @@
             .collect();
         for id in due {
             self.pending_removals.borrow_mut().remove(&id);
-            shared.steering.borrow_mut().remove_server(&id, now);
-            shared.pool.borrow_mut().close(&id);
+            remove_server(shared, &id);
         }
     }
 }
+
+/// Timeout of the next watch. Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change
+/// may take. After a failure it returns at once, so that its revision tells the changes of the outage from later ones.
+fn watch_timeout<A: Adapter>(shared: &Shared<A>) -> Duration {
+    if shared.store_outage.borrow().is_ongoing() {
+        return Duration::ZERO;
+    }
+    shared.cfg.max_change_delay.max(MIN_WATCH_TIMEOUT)
+}
+
+/// Records and logs the failure of a call.
+fn record_failure<A: Adapter>(shared: &Shared<A>, e: &StoreError) {
+    shared.store_outage.borrow_mut().record_failure();
+    log_store_failure(shared, e);
+}
+
+/// Removes a server, and closes the idle connections to it.
+fn remove_server<A: Adapter>(shared: &Shared<A>, id: &Backend) {
+    shared.steering.borrow_mut().remove_server(id, shared.now());
+    shared.pool.borrow_mut().close(id);
+}
