Refuse requests that a stopping daemon might break off

Cause: connections were accepted until 3 s after the signal was handled, and requests on them for longer. A request that came then got a deadline before the exit; if its work took longer than expected, it was broken off. A signal that came during a renewal of the lease was noticed only after the renewal period, so the daemon stayed listed for up to 1.8 s more.

Change: requests that arrive later than 2.7 s after the beginning of the stop are refused at once, with the reason "stopping" and a short delay, since another daemon can serve them. Connections count as open from the moment they are accepted, so the process does not end before the first poll of their task. The entry is removed as soon as the stop begins.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
 use crate::probe;
-use crate::shared::Shared;
+use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
 
 /// Interval between runs of the periodic work.
@@ -131,11 +131,19 @@
     let started = Instant::now();
     slog::info!(shared.events.logger(), "stopping"; "code" => 500, "connections" => shared.open_connections());
     let time_to_exit = grace_period.saturating_sub(EXIT_MARGIN);
-    shared.begin_shutdown(shared.now() + time_to_exit.saturating_sub(RESPONSE_MARGIN));
-    let exit_at = started + time_to_exit;
-    sleep_until((started + ACCEPT_GRACE_PERIOD).min(exit_at)).await;
-    while shared.open_connections() > 0 && Instant::now() < exit_at {
+    let time_to_accept = ACCEPT_GRACE_PERIOD.min(time_to_exit);
+    let now = shared.now();
+    shared.begin_shutdown(Shutdown {
+        accept_until: now + time_to_accept,
+        response_deadline: now + time_to_exit.saturating_sub(RESPONSE_MARGIN),
+    });
+    sleep_until(started + time_to_accept).await;
+    // The listener counts the last connections within the first of these periods.
+    loop {
         sleep(DRAIN_POLL_PERIOD).await;
+        if shared.open_connections() == 0 || started.elapsed() >= time_to_exit {
+            return;
+        }
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,6 +42,9 @@
 /// `Retry-After` delay of a refusal for which the steering logic gives no delay, for example while no configuration is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` delay of a refusal by a daemon that is stopping. The client can use another daemon at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// A client request that is being forwarded.
 struct Forward<'a, A: Adapter> {
     shared: &'a Rc<Shared<A>>,
@@ -92,10 +95,10 @@
     let Some(mut call) = started else {
         return refusal_response(Refusal { reason: Reason::NoServer, retry_after: DEFAULT_RETRY_AFTER });
     };
-    if let Some(end) = shared.response_deadline() {
+    if let Some(shutdown) = shared.shutdown() {
         // With the earlier deadline, a request that cannot be completed before the process exits is refused before it is
         // sent.
-        call.deadline = call.deadline.min(end);
+        call.deadline = call.deadline.min(shutdown.response_deadline);
     }
     let mut forward = Forward { shared, head: &head, metadata, body, call, may_have_run: false };
     let (res, outcome) = forward.run().await;
@@ -208,6 +211,9 @@
     /// Selects the backend server for the next send, waiting in the queue if necessary.
     async fn select_backend(&self) -> Result<SelectedBackend, Refusal> {
         let shared = &**self.shared;
+        if shared.shutdown().is_some_and(|shutdown| self.call.arrived_at >= shutdown.accept_until) {
+            return Err(Refusal { reason: Reason::Stopping, retry_after: STOPPING_RETRY_AFTER });
+        }
         let decision = shared.steering.borrow_mut().decide(shared.now(), &self.call);
         let decision = match decision {
             Decision::Wait(ticket) => self.wait_in_queue(ticket).await,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -29,9 +29,12 @@
 /// Backoff after a failure to accept a connection, for example when file descriptors are exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// Grace period of a shutdown during which connections are still accepted, from clients that use a cached look-up. The
-/// operating system refuses later ones, so that their clients turn to another daemon at once.
-pub const ACCEPT_GRACE_PERIOD: Duration = Duration::from_millis(3_000);
+/// Grace period of a shutdown during which connections and requests are still accepted, from clients that use a cached
+/// look-up. The operating system refuses later connections, so that their clients turn to another daemon at once.
+///
+/// The platform allows to break off a request that was sent within 3 s after the termination signal. The difference allows
+/// for a signal that is handled late.
+pub const ACCEPT_GRACE_PERIOD: Duration = Duration::from_millis(2_700);
 
 /// Smallest connection buffer in bytes that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -51,7 +54,7 @@
 /// graceful shutdown begins.
 pub async fn serve<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) {
     tokio::select! {
-        () = accept_connections(&shared, listener, role) => {}
+        () = accept_connections(&shared, &listener, role) => {}
         () = accept_grace_period_ended(&shared), if role == ListenerRole::Clients => {}
     }
 }
@@ -63,17 +66,10 @@
 }
 
 /// Accepts connections and serves each in a task of its own.
-async fn accept_connections<A: Adapter>(shared: &Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) {
+async fn accept_connections<A: Adapter>(shared: &Rc<Shared<A>>, listener: &TcpListener, role: ListenerRole) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = Rc::clone(shared);
-                actix_rt::spawn(async move {
-                    if let Err(e) = serve_connection(&shared, stream, role).await {
-                        log_connection_error(&shared, &e);
-                    }
-                });
-            }
+            Ok((stream, _)) => spawn_connection(shared, stream, role),
             Err(e) => {
                 log_connection_error(shared, &e);
                 sleep(ACCEPT_BACKOFF).await;
@@ -82,6 +78,18 @@
     }
 }
 
+/// Serves a connection in a task of its own. A client connection counts as open from now on.
+fn spawn_connection<A: Adapter>(shared: &Rc<Shared<A>>, stream: TcpStream, role: ListenerRole) {
+    let guard = (role == ListenerRole::Clients).then(|| ConnectionGuard::new(shared));
+    let shared = Rc::clone(shared);
+    actix_rt::spawn(async move {
+        let _guard = guard;
+        if let Err(e) = serve_connection(&shared, stream, role).await {
+            log_connection_error(&shared, &e);
+        }
+    });
+}
+
 fn log_connection_error<A: Adapter>(shared: &Shared<A>, e: &io::Error) {
     if let Some(log) = shared.events.admit(shared.now(), EventCode(570)) {
         slog::debug!(log, "connection failed"; "code" => 570, "cause" => %e);
@@ -91,6 +99,13 @@
 /// Counts a client connection as open until it is dropped.
 struct ConnectionGuard<A: Adapter>(Rc<Shared<A>>);
 
+impl<A: Adapter> ConnectionGuard<A> {
+    fn new(shared: &Rc<Shared<A>>) -> Self {
+        shared.connection_opened();
+        Self(Rc::clone(shared))
+    }
+}
+
 impl<A: Adapter> Drop for ConnectionGuard<A> {
     fn drop(&mut self) {
         self.0.connection_closed();
@@ -105,10 +120,6 @@
     role: ListenerRole,
 ) -> io::Result<()> {
     enable_dead_peer_detection(&stream)?;
-    let _guard = (role == ListenerRole::Clients).then(|| {
-        shared.connection_opened();
-        ConnectionGuard(Rc::clone(shared))
-    });
     let limits = shared.steering.borrow().plan().map_or_else(ClientLimits::default, |p| p.limits);
     let service = service_fn(|req: Request<Incoming>| {
         let shared = Rc::clone(shared);
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -138,6 +138,8 @@
     let mut registration: Option<Registration> = None;
     let mut failing = false;
     while shared.phase() == Phase::Serving {
+        // Created before the renewal, so that a shutdown that begins during it is not missed.
+        let shutdown_started = shared.shutdown_started.notified();
         let renewed = match timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await {
             Ok(Ok(renewed)) => {
                 registration = Some(renewed);
@@ -161,7 +163,7 @@
         let period = if renewed { RENEWAL_PERIOD } else { RENEWAL_RETRY_PERIOD };
         tokio::select! {
             () = sleep(period) => {}
-            () = shared.shutdown_started.notified() => {}
+            () = shutdown_started => {}
         }
     }
     if let Some(registration) = registration
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,15 @@
     Stopping,
 }
 
+/// Schedule of a graceful shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Time from which arriving requests are refused. A server might still be at work on a later one when the process exits.
+    pub accept_until: Timestamp,
+    /// Time by which every request must be answered.
+    pub response_deadline: Timestamp,
+}
+
 /// State shared by the tasks of a daemon.
 pub struct Shared<A> {
     /// Settings as they were read at start. A reload passes new steering settings to `steering` and leaves these unchanged.
@@ -49,8 +58,7 @@
     /// Notified when a graceful shutdown begins.
     pub shutdown_started: Notify,
     clock: BootClock,
-    phase: Cell<Phase>,
-    response_deadline: Cell<Option<Timestamp>>,
+    shutdown: Cell<Option<Shutdown>>,
     open_connections: Cell<usize>,
     waiters: RefCell<BTreeMap<QueueTicket, oneshot::Sender<Decision>>>,
 }
@@ -69,8 +77,7 @@
             events,
             shutdown_started: Notify::new(),
             clock: BootClock::start(),
-            phase: Cell::new(Phase::Serving),
-            response_deadline: Cell::new(None),
+            shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             waiters: RefCell::new(BTreeMap::new()),
             cfg,
@@ -84,19 +91,18 @@
 
     /// Current phase in the lifetime of the daemon.
     pub fn phase(&self) -> Phase {
-        self.phase.get()
+        if self.shutdown.get().is_some() { Phase::Stopping } else { Phase::Serving }
     }
 
-    /// Begins a graceful shutdown. Every request must be answered by `response_deadline`.
-    pub fn begin_shutdown(&self, response_deadline: Timestamp) {
-        self.phase.set(Phase::Stopping);
-        self.response_deadline.set(Some(response_deadline));
+    /// Begins a graceful shutdown.
+    pub fn begin_shutdown(&self, shutdown: Shutdown) {
+        self.shutdown.set(Some(shutdown));
         self.shutdown_started.notify_waiters();
     }
 
-    /// Time by which every request must be answered. `None` unless a graceful shutdown has begun.
-    pub fn response_deadline(&self) -> Option<Timestamp> {
-        self.response_deadline.get()
+    /// Schedule of the graceful shutdown. `None` unless it has begun.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        self.shutdown.get()
     }
 
     /// Whether clients should use this daemon: it has a configuration and is not shutting down.
--- a/crates/state/src/steering/engine/call.rs
+++ b/crates/state/src/steering/engine/call.rs
@@ -69,6 +69,9 @@
     /// The request crashes the servers that run it.
     #[display("poison")]
     Poison,
+    /// The daemon is stopping and could not complete the request.
+    #[display("stopping")]
+    Stopping,
 }
 
 /// A refused request.
