Accept established connections before the listener is closed in a stop

Callers whose connections had been established, and who had written their request, got a reset when a stopping daemon closed its listener.

Cause: dropping the listener makes the operating system reset the connections that wait to be accepted.

Change: after the time for accepting, the daemon first accepts what is already established, and serves it.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -18,7 +18,8 @@
 use medlarstair_state::steering::ClientLimits;
 use medlarstair_transport::http1::enable_dead_peer_detection;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout};
 
 use crate::adapter::Adapter;
 use crate::control;
@@ -55,7 +56,9 @@
 pub async fn serve<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) {
     tokio::select! {
         () = accept_connections(&shared, &listener, role) => {}
-        () = accept_grace_period_ended(&shared), if role == ListenerRole::Clients => {}
+        () = accept_grace_period_ended(&shared), if role == ListenerRole::Clients => {
+            accept_pending(&shared, &listener, role).await;
+        }
     }
 }
 
@@ -78,6 +81,16 @@
     }
 }
 
+/// Accepts the connections that the operating system has already established. It would reset them when the listener is
+/// closed, together with the requests that their clients have sent.
+async fn accept_pending<A: Adapter>(shared: &Rc<Shared<A>>, listener: &TcpListener, role: ListenerRole) {
+    // Lets the runtime learn of connections that were established since it last waited.
+    yield_now().await;
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        spawn_connection(shared, stream, role);
+    }
+}
+
 /// Serves a connection in a task of its own. A client connection counts as open from now on.
 fn spawn_connection<A: Adapter>(shared: &Rc<Shared<A>>, stream: TcpStream, role: ListenerRole) {
     let guard = (role == ListenerRole::Clients).then(|| ConnectionGuard::new(shared));
