--- a/crates/state/src/steering/engine/fleet.rs
+++ b/crates/state/src/steering/engine/fleet.rs
@@ -21,6 +21,11 @@
         self.groups.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Number of slots of all servers of a service.
+    pub(super) fn slots_of(&self, service: &Service) -> f64 {
+        self.servers_of(service).iter().map(|s| f64::from(s.entry.slots)).sum()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Server> {
         self.groups.values().flatten()
     }
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -110,11 +110,11 @@
     /// Refuses a request for which capacity is expected after `capacity_delay`.
     fn refuse(&mut self, now: Timestamp, call: &Call, reason: Reason, capacity_delay: Duration) -> Decision {
         let max_delay = call.deadline.since(now).mul_f64(MAX_RETRY_DELAY_FRACTION);
-        let slots: u32 = self.fleet.servers_of(&call.service).iter().map(|s| s.entry.slots).sum();
+        let slots = self.fleet.slots_of(&call.service);
         // All daemons schedule retries on the same slots.
         let daemons = self.daemons as f64;
         let state = self.service_state(&call.service);
-        let spacing = Duration::from_secs_f64(state.run_time.value * daemons / f64::from(slots.max(1)));
+        let spacing = Duration::from_secs_f64(state.run_time.value * daemons / slots.max(1.0));
         let retry_after = state.retry_schedule.next_delay(now, capacity_delay, spacing, max_delay);
         Decision::Refuse(Refusal { reason, retry_after })
     }
--- a/crates/state/src/steering/engine/selection.rs
+++ b/crates/state/src/steering/engine/selection.rs
@@ -336,9 +336,8 @@
         let would_miss_objective = |d: &&SlotDemand| d.latency_objective.as_secs_f64() < work;
         let more_urgent = state.demand.range(..call.route.priority).map(|(_, demand)| demand);
         let urgent: f64 = more_urgent.filter(would_miss_objective).map(|demand| demand.slots(now)).sum();
-        let slots: u32 = self.fleet.servers_of(&call.service).iter().map(|s| s.entry.slots).sum();
         // This daemon observes only its part of the demand.
-        urgent * self.daemons as f64 > MIN_URGENT_DEMAND_FRACTION * f64::from(slots)
+        urgent * self.daemons as f64 > MIN_URGENT_DEMAND_FRACTION * self.fleet.slots_of(&call.service)
     }
 
     /// Expected work in seconds on a server that is warm for the object with the given probability.
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -231,7 +231,7 @@
 
     /// Records a load report.
     pub fn record_load(&mut self, now: Timestamp, load: LoadReport) {
-        let total = f64::from(load.running + load.waiting);
+        let total = f64::from(load.running) + f64::from(load.waiting);
         self.other_load = (total - f64::from(self.in_flight)).max(0.0);
         self.mean_other_load += (self.other_load - self.mean_other_load) * LOAD_MEAN_WEIGHT;
         self.reported_at = now;
--- a/crates/state/tests/steering.rs
+++ b/crates/state/tests/steering.rs
@@ -16,7 +16,9 @@
 use medlarstair_state::steering::round_robin::WeightedRoundRobin;
 use medlarstair_state::steering::server::Server;
 use medlarstair_state::steering::warmup::{WarmupWindow, allowance};
-use medlarstair_state::steering::{ClientLimits, Decision, Plan, QueueTicket, SendOutcome};
+use medlarstair_state::steering::{
+    BackendEntry, ClientLimits, Decision, LoadReport, Plan, QueueTicket, SendOutcome,
+};
 use medlarstair_state::time::Timestamp;
 use steering_support::*;
 
@@ -522,3 +524,17 @@
     let due = steering.start_due_probes(ms(20 + 300));
     assert_eq!(due.iter().map(|e| &e.id).collect::<Vec<_>>(), [&selected.backend]);
 }
+
+/// Guards against a daemon that ends because of the numbers in a load report or an entry. Both come from outside.
+#[test]
+fn numbers_of_any_size_are_accepted_from_servers() {
+    let mut steering = steering_with_servers(&["near", "near"]);
+    steering.apply_plan(plan_with_routes(1, vec![route("r", "/r/")]));
+    let huge = BackendEntry { slots: u32::MAX, cold_left: Duration::MAX, ..entry(0, "near") };
+    steering.apply_server(huge.clone(), ms(0));
+    steering.apply_server(BackendEntry { slots: u32::MAX, ..entry(1, "near") }, ms(0));
+    let report = LoadReport { running: u32::MAX, waiting: u32::MAX, slots: 0, slowdown: None };
+    steering.record_load(ms(1), &huge.id, report);
+    let (_, decision) = place(&mut steering, ms(2), "/r/", 7);
+    assert!(matches!(decision, Decision::Send(_)), "{decision:?}");
+}
--- /dev/null
+++ b/crates/transport/tests/http1.rs
@@ -0,0 +1,60 @@
+//! Tests of the client connection with servers whose responses are wrong. Each test states the failure that it guards
+//! against.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use medlarstair_transport::http1::{BufferedResponse, ClientConnection, ExchangeError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Limit on the body of a response in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Starts a server that answers each connection with one of the texts, in order, and closes it.
+async fn serve(texts: Vec<Vec<u8>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for text in texts {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            stream.read(&mut buf).await.unwrap();
+            stream.write_all(&text).await.unwrap();
+        }
+    });
+    address
+}
+
+async fn exchange(address: SocketAddr) -> Result<BufferedResponse, ExchangeError> {
+    let mut connection = ClientConnection::open(address, Duration::from_secs(5)).await.unwrap();
+    let req = Request::get("/").header("host", "a.example").body(Full::<Bytes>::default()).unwrap();
+    connection.exchange(req, MAX_BODY_BYTES).await
+}
+
+/// Guards against a response that looks complete although its server stopped in its head or body: a success with an empty
+/// or short body would reach the client.
+#[tokio::test]
+async fn a_response_that_is_cut_anywhere_is_no_response() {
+    for whole in [
+        &b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 5\r\n\r\nwhole"[..],
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+    ] {
+        let cuts: Vec<Vec<u8>> = (0..whole.len()).map(|n| whole[..n].to_vec()).collect();
+        let address = serve(cuts).await;
+        for n in 0..whole.len() {
+            let response = exchange(address).await;
+            assert!(response.is_err(), "cut after {n} bytes: {response:?}");
+        }
+    }
+    // Without a length only the head shows that something is missing.
+    let head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n";
+    let address = serve((0..head.len()).map(|n| head[..n].to_vec()).collect()).await;
+    for n in 0..head.len() {
+        let response = exchange(address).await;
+        assert!(response.is_err(), "cut after {n} bytes of the head: {response:?}");
+    }
+}
