Send nothing to cold servers in the first second of a daemon

Cause: a daemon does not know what its previous process sent in that second, so a cold server got its part of the limit twice; and after a start of all daemons each counts only itself for a moment.

Change: the allowance is zero until a window has passed since the start of the daemon.

Evidence: the new test failed before (14 requests in a second).

--- a/crates/state/src/steering/warmup.rs
+++ b/crates/state/src/steering/warmup.rs
@@ -36,7 +36,13 @@
 
 impl WarmupWindow {
     /// Whether the allowance permits another request.
+    ///
+    /// It permits none until a window has passed since the start of the daemon, where timestamps begin. Before, the daemon
+    /// neither knows what its previous process sent nor, after a restart of all daemons, how many there are.
     pub fn allows(&self, now: Timestamp, allowance: usize) -> bool {
+        if now.since(Timestamp::ZERO) < WINDOW {
+            return false;
+        }
         self.sent.iter().filter(|at| now.since(**at) < WINDOW).count() < allowance
     }
 
--- a/crates/state/tests/steering.rs
+++ b/crates/state/tests/steering.rs
@@ -195,6 +195,30 @@
     }
 }
 
+/// Guards against a cold server that gets the allowance of a daemon twice in one second, from its process before and after a
+/// restart (FAILBACK on the day store-and-drain, 16 requests where 10.25 are allowed).
+#[test]
+fn a_restarted_daemon_keeps_the_bound_of_a_cold_server() {
+    let (bound, killed_at, started_at) = (10.25, 2_200, 2_300);
+    let each = allowance(bound, 1);
+    let (mut before, mut after) = (WarmupWindow::default(), WarmupWindow::default());
+    let mut sends: Vec<u64> = Vec::new();
+    for at in 0..6_000_u64 {
+        let (window, clock) =
+            if at < killed_at { (&mut before, at) } else { (&mut after, at.saturating_sub(started_at)) };
+        if (killed_at..started_at).contains(&at) || !window.allows(ms(clock), each) {
+            continue;
+        }
+        window.record_send(ms(clock));
+        sends.push(at);
+    }
+    assert!(sends.iter().any(|at| *at > started_at), "nothing was sent after the restart");
+    for (n, at) in sends.iter().enumerate() {
+        let within = sends[n..].iter().take_while(|t| **t < at + 1_000).count();
+        assert!(within as f64 <= bound, "{within} requests from {at} ms on");
+    }
+}
+
 /// Guards against retries that amplify an overload.
 #[test]
 fn repeats_stay_within_the_budget() {
