Reset connections to servers instead of closing them

Cause: dropping a connection closed it in the orderly way, so the operating system kept the undelivered bytes and delivered them after the partition. The same happened when a connection ended by failed keep-alive probes.

Change: connections of ClientConnection are reset when they are closed, and send no keep-alive probes.

Evidence: the new test failed before (an orderly end instead of a reset).

--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 client connection.
 //!
-//! A [`ClientConnection`] carries one request at a time. Dropping it, or the future of an exchange, closes the
-//! connection: the server learns at once that the response is no longer needed, and a late response is never attributed
-//! to the next request.
+//! A [`ClientConnection`] carries one request at a time. Dropping it, or the future of an exchange, resets the connection:
+//! the server learns at once that the response is no longer needed, and a late response is never attributed to the next
+//! request.
+//!
+//! A reset, other than an orderly close, also discards what has not been delivered yet. A request that is given up during a
+//! network partition would otherwise reach the server after the partition, seconds after its client was told of the failure.
 
 use std::io;
 use std::net::SocketAddr;
@@ -83,7 +86,9 @@
     /// Any I/O error; [`io::ErrorKind::TimedOut`] if connecting takes longer than `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, TcpStream::connect(address)).await??;
-        enable_dead_peer_detection(&stream)?;
+        set_user_timeout(&stream)?;
+        // No keep-alive probes: a connection that fails by them is not reset, which leaves its data to be delivered.
+        stream.set_zero_linger()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let connection_task = tokio::spawn(async move {
             // An error is also returned by the exchange that it interrupts. An idle connection may end at any time.
@@ -132,12 +137,17 @@
 ///
 /// Any error setting the socket options.
 pub fn enable_dead_peer_detection(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_INTERVAL)
         .with_interval(KEEP_ALIVE_INTERVAL)
         .with_retries(KEEP_ALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    SockRef::from(stream).set_tcp_keepalive(&probes)?;
+    set_user_timeout(stream)
+}
+
+/// Configures the socket so that the kernel closes the connection when sent data is not acknowledged. Also disables Nagle's
+/// algorithm.
+fn set_user_timeout(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
--- a/crates/transport/tests/http1.rs
+++ b/crates/transport/tests/http1.rs
@@ -1,6 +1,7 @@
 //! Tests of the client connection with servers whose responses are wrong. Each test states the failure that it guards
 //! against.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use medlarstair_transport::http1::{BufferedResponse, ClientConnection, ExchangeError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 /// Limit on the body of a response in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -58,3 +60,19 @@
         assert!(response.is_err(), "cut after {n} bytes of the head: {response:?}");
     }
 }
+
+/// Guards against a request that is given up during a network partition and runs seconds later (review case 4). An orderly
+/// close leaves the bytes to the operating system, which delivers them after the partition; only a reset takes them back.
+#[tokio::test]
+async fn an_abandoned_exchange_resets_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let abandoned =
+        tokio::spawn(async move { timeout(Duration::from_millis(100), exchange(address)).await.is_err() });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut buf = [0; 4096];
+    assert!(stream.read(&mut buf).await.unwrap() > 0, "no request");
+    let end = stream.read(&mut buf).await;
+    assert_eq!(end.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
+    assert!(abandoned.await.unwrap());
+}
