Recognize crashing requests that name no object

Cause: the fingerprint by which copies are recognized included the object, and a request that names none gets its attempt as the object, which is new in each copy. A flood of distinct crashes also displaced the lowest fingerprint, whichever it was.

Change: the fingerprint has method, host, path and body, and the object only if the caller names one. If the list is full, the fingerprints with the fewest crashed servers and the oldest crash go first.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -129,8 +129,12 @@
     let object = metadata.object.unwrap_or_else(|| ObjectId::from_name(attempt)).for_route(&route.name);
     let mut text = Vec::with_capacity(256);
     text.extend_from_slice(head.method.as_str().as_bytes());
+    text.extend_from_slice(route.host.as_bytes());
     text.extend_from_slice(head.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
-    text.extend_from_slice(&object.0.to_le_bytes());
+    if metadata.object.is_some() {
+        // Otherwise the object is the attempt, which differs between copies of a request.
+        text.extend_from_slice(&object.0.to_le_bytes());
+    }
     (object, Fingerprint(rapidhash_v3(&text) ^ rapidhash_v3(body)))
 }
 
--- a/crates/state/src/steering/poison.rs
+++ b/crates/state/src/steering/poison.rs
@@ -24,7 +24,7 @@
 /// Maximum number of crashes that a daemon reports to the others. The latest ones are reported.
 const MAX_REPORTED_CRASHES: usize = 64;
 
-/// Hash of the parts that identify a request: method, path, object and body.
+/// Hash of the parts that identify a request: method, host, path, body and, if the client names one, the object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(pub u64);
 
@@ -88,14 +88,10 @@
         self.records.remove(&fingerprint);
     }
 
-    /// Adds a crash unless one of the same server is known. Evicts expired crashes, or the lowest fingerprint, if there
-    /// are too many.
+    /// Adds a crash unless one of the same server is known. If there are too many fingerprints, evicts a new one first.
     fn add(&mut self, now: Timestamp, crash: Crash, is_local: bool) {
-        if self.records.len() >= MAX_FINGERPRINTS {
-            self.records.retain(|_, crashes| crashes.iter().any(|c| is_recent(now, c)));
-        }
-        if self.records.len() >= MAX_FINGERPRINTS {
-            self.records.pop_first();
+        if self.records.len() >= MAX_FINGERPRINTS && !self.records.contains_key(&crash.fingerprint) {
+            self.evict(now);
         }
         let crashes = self.records.entry(crash.fingerprint).or_default();
         crashes.retain(|c| is_recent(now, c));
@@ -103,6 +99,20 @@
             crashes.push(CrashRecord { server: crash.server, at: now, is_local });
         }
     }
+
+    /// Removes fingerprints without recent crashes or, if there are none, the one with the fewest crashed servers and, among
+    /// these, the oldest crash. Many distinct requests therefore do not displace a request that is refused.
+    fn evict(&mut self, now: Timestamp) {
+        self.records.retain(|_, crashes| crashes.iter().any(|c| is_recent(now, c)));
+        if self.records.len() < MAX_FINGERPRINTS {
+            return;
+        }
+        let rank = |crashes: &[CrashRecord]| (crashes.len(), crashes.iter().map(|c| c.at).max());
+        let evicted = self.records.iter().min_by_key(|(_, crashes)| rank(crashes)).map(|(f, _)| *f);
+        if let Some(evicted) = evicted {
+            self.records.remove(&evicted);
+        }
+    }
 }
 
 fn is_recent(now: Timestamp, record: &CrashRecord) -> bool {
--- a/crates/state/tests/steering.rs
+++ b/crates/state/tests/steering.rs
@@ -549,6 +549,18 @@
     assert_eq!(due.iter().map(|e| &e.id).collect::<Vec<_>>(), [&selected.backend]);
 }
 
+/// Guards against a flood of distinct crashing requests that displaces the record of one that is refused.
+#[test]
+fn many_distinct_crashes_do_not_displace_a_refused_request() {
+    let mut list = PoisonList::default();
+    let refused = Fingerprint(0);
+    (1..=3).for_each(|server| list.record_crash(ms(server), Crash { fingerprint: refused, server }));
+    for n in 1..10_000 {
+        list.record_crash(ms(10 + n), Crash { fingerprint: Fingerprint(n), server: 9 });
+    }
+    assert!(list.refuses(ms(20_000), refused));
+}
+
 /// Guards against a daemon that ends because of the numbers in a load report or an entry. Both come from outside.
 #[test]
 fn numbers_of_any_size_are_accepted_from_servers() {
--- a/crates/transport/tests/http1.rs
+++ b/crates/transport/tests/http1.rs
@@ -24,7 +24,7 @@
         for text in texts {
             let (mut stream, _) = listener.accept().await.unwrap();
             let mut buf = [0; 4096];
-            stream.read(&mut buf).await.unwrap();
+            assert!(stream.read(&mut buf).await.unwrap() > 0, "no request");
             stream.write_all(&text).await.unwrap();
         }
     });
