Send nothing to servers that announce in a response that they leave

A server that leaves says so in all its responses (Server-Leaving: 1). From the moment at which a daemon has passed on such a response, it has the drain time to stop sending to it, whatever the key-value service says.

Change: the announcement counts in each response that has the identity of the request, and in responses to health checks. It holds until the server restarts, which the start time in its entry shows; an entry that says "ready", its repetition and its return after a deletion do not end it. Idle connections to the server are closed. Events 532, metric medlarstair_server_notices_total.

Entries are now compared by their start time and sequence number, so that a write which is carried out late does not put a server back in use that is draining or gone. An entry that looks older is applied after 15 s all the same, for servers whose clock was set back.

Evidence: with the header left unread, a_target_that_announces_that_it_leaves_gets_no_more_requests fails; the tests of steering_departures.rs need the new decisions.

--- a/crates/daemons/src/ctl/explain.rs
+++ b/crates/daemons/src/ctl/explain.rs
@@ -79,7 +79,7 @@
 
 /// Numbers of the events that change the state on which a daemon bases its decisions. For each daemon that handled the
 /// request, the last of each before the end of the request is shown.
-const CONTEXT_EVENTS: [u32; 7] = [500, 510, 511, 531, 560, 561, 563];
+const CONTEXT_EVENTS: [u32; 9] = [500, 510, 511, 531, 532, 533, 560, 561, 563];
 
 /// Number of the event that a request ended.
 const REQUEST_ENDED: u32 = 543;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -35,6 +35,8 @@
     pub misdirected: bool,
     /// Load that the server reported. It still counts the request to which this is the response. `None` if not reported.
     pub load: Option<LoadReport>,
+    /// Whether the server announces that it is leaving and must receive no further requests.
+    pub leaving: bool,
 }
 
 /// Result of a successful health check.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::adapter::{Adapter, RequestMetadata, ResponseMetadata};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
+use crate::notices;
 use crate::shared::Shared;
 
 /// Timeout for opening a connection to a backend server. It allows two round trips between the most distant regions.
@@ -254,6 +255,10 @@
             shared.steering.borrow_mut().record_load(now, &choice.backend, *load);
         }
         self.log_send(choice, &guard.outcome, started, now);
+        drop(guard);
+        if let SendResult::Response(_, metadata) = &sent {
+            notices::record(shared, &choice.backend, metadata, self.request_id());
+        }
         sent
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ingress;
 pub mod membership;
 pub mod metrics;
+pub mod notices;
 pub mod pool;
 pub mod probe;
 pub mod shared;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub sends: IntCounterVec,
     /// Attempts to open a connection to a backend server, by service.
     pub connections: IntCounterVec,
+    /// Announcements of backend servers in their responses, by kind.
+    pub notices: IntCounterVec,
 }
 
 impl Metrics {
@@ -37,11 +39,13 @@
         let sends = counter("medlarstair_sends_total", "Sends to backend servers", &["service", "outcome"])?;
         let connections =
             counter("medlarstair_connections_total", "Connections opened to backend servers", &["service"])?;
+        let notices =
+            counter("medlarstair_server_notices_total", "Announcements of backend servers", &["kind"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
         registry.register(Box::new(latency.clone()))?;
-        Ok(Self { registry, requests, latency, sends, connections })
+        Ok(Self { registry, requests, latency, sends, connections, notices })
     }
 
     /// Encodes all metrics in the text format.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::adapter::{Adapter, HealthReport};
+use crate::notices;
 use crate::shared::Shared;
 
 /// Timeout for a health check, including opening the connection.
@@ -22,6 +23,9 @@
 /// Maximum size of the response body of a health check in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
+/// Name of a health check in log lines that name a request.
+const HEALTH_CHECK: &str = "health-check";
+
 /// Starts a task for each health check that is due.
 pub fn start_due<A: Adapter>(shared: &Rc<Shared<A>>) {
     let due = shared.steering.borrow_mut().start_due_probes(shared.now());
@@ -49,6 +53,8 @@
     let req = Request::get(&*path).header("host", server.address.to_string());
     let req = req.body(Full::<Bytes>::default()).ok()?;
     let response = connection.exchange(req, MAX_BODY_BYTES).await.ok()?;
+    let metadata = shared.adapter.parse_response(response.head.status, &response.head.headers);
+    notices::record(shared, &server.id, &metadata, HEALTH_CHECK);
     let report = shared.adapter.parse_health_response(response.head.status, &response.head.headers)?;
     if report.backend.as_ref().is_some_and(|id| *id != server.id) {
         shared.steering.borrow_mut().mark_misdirected(&server.id);
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -165,11 +165,14 @@
                     "version" => version.0, "revision" => entry.revision.0, "in_force" => in_force);
             }
             StoreUpdate::Server(id, Some(server)) => {
-                self.pending_removals.borrow_mut().remove(&id);
+                let (address, leaving, cold) = (server.address, server.draining, server.cold_left);
+                let applied = shared.steering.borrow_mut().apply_server(server, shared.now());
+                if applied {
+                    self.pending_removals.borrow_mut().remove(&id);
+                }
                 slog::info!(shared.events.logger(), "backend server listed"; "code" => 530, "backend" => %id,
-                    "revision" => entry.revision.0, "address" => %server.address,
-                    "leaving" => server.draining, "cold_ms" => server.cold_left.as_millis());
-                shared.steering.borrow_mut().apply_server(server, shared.now());
+                    "revision" => entry.revision.0, "address" => %address, "leaving" => leaving,
+                    "cold_ms" => cold.as_millis(), "in_force" => applied);
             }
             StoreUpdate::Server(id, None) => self.server_deleted(shared, id, entry.revision),
             StoreUpdate::Evacuation(domain, active) => {
--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -6,6 +6,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use medlarstair_state::steering::affinity::ObjectId;
+use medlarstair_state::steering::departures::EntryVersion;
 use medlarstair_state::steering::plan::{Destination, PlanVersion, Priority, RetrySafety};
 use medlarstair_state::steering::poison::Fingerprint;
 use medlarstair_state::steering::retries::RetryLimits;
@@ -43,7 +44,7 @@
             slots: 3,
             draining: false,
             cold_left: Duration::ZERO,
-            started_at_ms: Some(1),
+            version: EntryVersion { started_at_ms: Some(1), sequence: None },
         };
         steering.apply_server(entry, Timestamp::ZERO);
     }
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -22,6 +22,7 @@
 
 use crate::id::{Backend, Domain, Region, Service};
 use crate::steering::affinity::{ObjectId, server_hash};
+use crate::steering::departures::Departures;
 use crate::steering::home_demand::HomeDemand;
 use crate::steering::plan::{Plan, PlanVersion, Priority, Route};
 use crate::steering::poison::{Crash, Fingerprint, PoisonList};
@@ -137,6 +138,7 @@
     cfg: SteeringConfig,
     plan: Option<Rc<Plan>>,
     fleet: Fleet,
+    departures: Departures,
     evacuated: BTreeSet<Domain>,
     services: BTreeMap<Service, ServiceState>,
     work_estimates: BTreeMap<Box<str>, WorkEstimates>,
@@ -167,6 +169,7 @@
             cfg,
             plan: None,
             fleet: Fleet::default(),
+            departures: Departures::default(),
             evacuated: BTreeSet::new(),
             services: BTreeMap::new(),
             work_estimates: BTreeMap::new(),
@@ -222,18 +225,36 @@
         }
     }
 
-    /// Adds a server or applies its newer entry.
-    pub fn apply_server(&mut self, entry: BackendEntry, now: Timestamp) {
+    /// Adds a server or applies its newer entry. Returns whether the entry was applied; one that was written late is not.
+    pub fn apply_server(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let id = entry.id.clone();
+        let is_outdated = match self.fleet.get(&id) {
+            Some(server) => server.is_outdated(&entry, now),
+            None => self.departures.is_outdated(now, &entry),
+        };
+        if is_outdated {
+            return false;
+        }
         match self.fleet.get_mut(&id) {
             Some(old) if old.entry.service == entry.service => {
                 old.update(entry, now);
-                return;
+                return true;
             }
             Some(_) => self.remove_server(&id, now),
             None => {}
         }
-        self.fleet.insert(Server::new(entry, now));
+        let mut server = Server::new(entry, now);
+        if self.departures.had_announced(&server.entry) {
+            server.mark_leaving();
+        }
+        self.fleet.insert(server);
+        true
+    }
+
+    /// Records that a server announced in a response that it leaves. It receives no further requests until it restarts.
+    /// Returns whether that was not known.
+    pub fn mark_leaving(&mut self, id: &Backend) -> bool {
+        self.fleet.get_mut(id).is_some_and(Server::mark_leaving)
     }
 
     /// Removes a server that is no longer listed.
@@ -241,7 +262,8 @@
         let Some(server) = self.fleet.remove(id) else {
             return;
         };
-        if !server.entry.draining {
+        self.departures.record(now, &server);
+        if !server.entry.draining && !server.is_leaving() {
             self.record_loss(now, server.entry.region);
         }
     }
@@ -472,6 +494,7 @@
     /// periodically.
     pub fn tick(&mut self, now: Timestamp) {
         self.recheck_all = true;
+        self.departures.expire(now);
         let limits = self.cfg.retries;
         for state in self.services.values_mut() {
             state.retry_budget.expire(now, &limits);
--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -4,6 +4,7 @@
 //! sent. The parts are separate modules because each of them handles one load pattern:
 //!
 //! - [`plan`]: routes, services and limits of one configuration version.
+//! - [`departures`]: servers that leave, and entries that are written late.
 //! - [`server`]: the estimated state of a backend server: entry, load, latency factor, failure rate, warm-up.
 //! - [`affinity`]: which server holds the state of an object, so that repeated work finds it cached.
 //! - [`round_robin`]: weighted distribution of the requests of a route over services, without sampling error.
@@ -18,6 +19,7 @@
 
 pub mod affinity;
 pub mod capacity;
+pub mod departures;
 pub mod engine;
 pub mod home_demand;
 pub mod plan;
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -11,6 +11,7 @@
 
 use crate::id::{Backend, Domain, Region, Service};
 use crate::steering::affinity::{WarmSet, server_hash};
+use crate::steering::departures::{EntryVersion, is_late_write};
 use crate::steering::warmup::WarmupWindow;
 use crate::time::Timestamp;
 
@@ -57,9 +58,8 @@
     pub draining: bool,
     /// Remaining warm-up time. Zero if the server is warm.
     pub cold_left: Duration,
-    /// Start time in milliseconds since the Unix epoch. `None` if not known. A server may restart under the same
-    /// identity.
-    pub started_at_ms: Option<u64>,
+    /// Position of the entry among those of the server, which may restart under the same identity.
+    pub version: EntryVersion,
 }
 
 /// Duration of work on the machine of a server at one moment, as a ratio to the usual duration.
@@ -130,6 +130,10 @@
     backoff_until: Timestamp,
     /// Whether another server was found at its address.
     misdirected: bool,
+    /// Whether it announced in a response that it leaves. This holds until it restarts, whatever its entry says.
+    leaving: bool,
+    /// Time at which the entry was applied.
+    listed_at: Timestamp,
 }
 
 impl Server {
@@ -154,6 +158,8 @@
             consecutive_failures: 0,
             backoff_until: now,
             misdirected: false,
+            leaving: false,
+            listed_at: now,
         }
     }
 
@@ -161,7 +167,7 @@
     /// in flight is reset.
     pub fn update(&mut self, entry: BackendEntry, now: Timestamp) -> bool {
         let restarted =
-            entry.started_at_ms != self.entry.started_at_ms || entry.address != self.entry.address;
+            !self.entry.version.is_same_process(&entry.version) || entry.address != self.entry.address;
         if restarted {
             let in_flight = self.in_flight;
             *self = Self { in_flight, ..Self::new(entry, now) };
@@ -172,9 +178,25 @@
             self.warm.clear();
         }
         self.entry = entry;
+        self.listed_at = now;
         false
     }
 
+    /// Whether an entry is older than the current one and was written late.
+    pub fn is_outdated(&self, entry: &BackendEntry, now: Timestamp) -> bool {
+        is_late_write(now, entry, &self.entry.version, self.listed_at)
+    }
+
+    /// Records that the server announced that it leaves. Returns whether that was not known.
+    pub fn mark_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
+    /// Whether the server has announced in a response that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Hash of the identity, for rendezvous scores.
     pub fn hash(&self) -> u64 {
         self.hash
@@ -187,7 +209,7 @@
 
     /// Whether requests may be sent to the server, regardless of its load and warm-up.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        !self.entry.draining && !self.misdirected && now >= self.backoff_until
+        !self.entry.draining && !self.leaving && !self.misdirected && now >= self.backoff_until
     }
 
     /// Whether the server is cold or may be, so that the rate limit of cold servers applies.
@@ -270,8 +292,11 @@
 
     /// Whether a health check is due. If so, it is recorded as in progress.
     pub fn start_probe_if_due(&mut self, now: Timestamp) -> bool {
-        let due =
-            !self.verified && !self.probe_in_progress && now >= self.backoff_until && !self.entry.draining;
+        let due = !self.verified
+            && !self.probe_in_progress
+            && now >= self.backoff_until
+            && !self.entry.draining
+            && !self.leaving;
         self.probe_in_progress |= due;
         due
     }
--- a/crates/state/tests/steering_support/mod.rs
+++ b/crates/state/tests/steering_support/mod.rs
@@ -8,6 +8,7 @@
 
 use medlarstair_state::id::Backend;
 use medlarstair_state::steering::affinity::ObjectId;
+use medlarstair_state::steering::departures::EntryVersion;
 use medlarstair_state::steering::engine::DaemonCounts;
 use medlarstair_state::steering::plan::{Destination, PlanVersion, Priority, RetrySafety};
 use medlarstair_state::steering::poison::Fingerprint;
@@ -79,7 +80,7 @@
         slots: SLOTS as u32,
         draining: false,
         cold_left: Duration::ZERO,
-        started_at_ms: Some(1),
+        version: EntryVersion { started_at_ms: Some(1), sequence: Some(1) },
     }
 }
 
