Send nothing to servers that ask for a pause

A server that rejects a request with 503 may add Retry-After; it wants nothing from that daemon for so long. Until now, such a rejection counted as a failure, and the server got the next request at once.

Change: from the response on, the server gets neither requests nor health checks until its time has passed, plus up to a tenth or 0.5 s that differs between daemons. In the first second after a pause it has one request of the daemon at a time. A pause changes nothing about the server's health, objects and history; its objects run on the next servers of their preference lists meanwhile, as they do when a server is lost. If all servers of a service are paused, requests are refused at once with the time until the first end. Numbers are cut to 300 s; anything else is ignored and counted.

--- a/crates/daemons/src/ctl/explain.rs
+++ b/crates/daemons/src/ctl/explain.rs
@@ -222,6 +222,7 @@
         "retry-budget" => "the retry budget of its service was exhausted",
         "attempts" => "it was sent to as many servers as its route allows",
         "poison" => "it is suspected of crashing servers",
+        "paused" => "all usable servers of its service had asked for a pause",
         "stopping" => "the daemon was stopping and could not have completed it; it did not run",
         "no-plan" => "the daemon had not yet loaded a routing configuration",
         other => other,
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -24,6 +24,15 @@
     pub object: Option<ObjectId>,
 }
 
+/// Request of a backend server to receive nothing for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// For this long.
+    For(Duration),
+    /// The value is not a duration, so the request has no effect.
+    Invalid,
+}
+
 /// Values from the head of a backend server's response.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseMetadata {
@@ -37,6 +46,8 @@
     pub load: Option<LoadReport>,
     /// Whether the server announces that it is leaving and must receive no further requests.
     pub leaving: bool,
+    /// Pause for which the server asks. `None` if it asks for none.
+    pub pause: Option<PauseRequest>,
 }
 
 /// Result of a successful health check.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::ingress::{self, ACCEPT_GRACE_PERIOD, ListenerRole};
 use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
+use crate::notices;
 use crate::probe;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
@@ -59,6 +60,7 @@
     fn handle(&mut self, TimerFired: TimerFired, _: &mut Self::Context) {
         let now = self.shared.now();
         self.watcher.apply_due_removals(&self.shared);
+        notices::end_pauses(&self.shared);
         self.shared.steering.borrow_mut().tick(now);
         self.shared.pool.borrow_mut().expire(now);
         self.shared.deliver_decisions();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,7 +25,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::adapter::{Adapter, RequestMetadata, ResponseMetadata};
+use crate::adapter::{Adapter, PauseRequest, RequestMetadata, ResponseMetadata};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
 use crate::notices;
@@ -265,7 +265,10 @@
     fn send_outcome(&self, sent: &SendResult, took: Duration) -> SendOutcome {
         match sent {
             SendResult::Response(_, metadata) if metadata.misdirected => SendOutcome::Misdirected,
-            SendResult::Response(_, metadata) if metadata.not_run => SendOutcome::Shed,
+            SendResult::Response(_, metadata) if metadata.not_run => match metadata.pause {
+                Some(PauseRequest::For(_)) => SendOutcome::Paused,
+                Some(PauseRequest::Invalid) | None => SendOutcome::Shed,
+            },
             SendResult::Response(response, _) => {
                 SendOutcome::Answered { ok: !response.head.status.is_server_error(), took }
             }
@@ -280,6 +283,7 @@
             SendOutcome::Answered { ok: true, .. } => ("ok", false),
             SendOutcome::Answered { ok: false, .. } => ("failed", true),
             SendOutcome::Shed => ("shed", true),
+            SendOutcome::Paused => ("paused", true),
             SendOutcome::Misdirected => ("misdirected", true),
             SendOutcome::NotConnected => ("not-connected", true),
             SendOutcome::ConnectionLost => ("broken", true),
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -257,6 +257,17 @@
         self.fleet.get_mut(id).is_some_and(Server::mark_leaving)
     }
 
+    /// Records that a server asked to receive nothing for some time. Returns whether it was not paused.
+    pub fn pause_server(&mut self, now: Timestamp, id: &Backend, duration: Duration) -> bool {
+        self.fleet.get_mut(id).is_some_and(|server| server.pause(now, duration))
+    }
+
+    /// Ends the pauses whose time has passed. Returns their servers.
+    pub fn end_pauses(&mut self, now: Timestamp) -> Vec<Backend> {
+        let ended = self.fleet.iter_mut().filter_map(|s| s.end_pause(now).then(|| s.entry.id.clone()));
+        ended.collect()
+    }
+
     /// Removes a server that is no longer listed.
     pub fn remove_server(&mut self, id: &Backend, now: Timestamp) {
         let Some(server) = self.fleet.remove(id) else {
@@ -428,7 +439,7 @@
                     self.record_loss(now, region);
                 }
             }
-            SendOutcome::Cancelled => {}
+            SendOutcome::Paused | SendOutcome::Cancelled => {}
         }
     }
 
--- a/crates/state/src/steering/engine/call.rs
+++ b/crates/state/src/steering/engine/call.rs
@@ -69,6 +69,9 @@
     /// The request crashes the servers that run it.
     #[display("poison")]
     Poison,
+    /// All servers of the service that could be used have asked for a pause.
+    #[display("paused")]
+    Paused,
     /// The daemon is stopping and could not complete the request.
     #[display("stopping")]
     Stopping,
@@ -113,6 +116,8 @@
     },
     /// The server refused the request without running it.
     Shed,
+    /// The server refused the request without running it, and asked for a pause.
+    Paused,
     /// Another server responded at the address.
     Misdirected,
     /// No connection could be opened.
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -82,7 +82,7 @@
                 let server = best.server.entry.id.clone();
                 self.enqueue(call, server)
             }
-            None => self.refuse(now, call, Reason::NoServer, NO_SERVER_RETRY_DELAY),
+            None => self.refuse_without_server(now, call),
         }
     }
 
@@ -107,6 +107,16 @@
         Decision::Wait(ticket)
     }
 
+    /// Refuses a request because no server is usable. If that is because of pauses, the delay is that until the first end.
+    fn refuse_without_server(&mut self, now: Timestamp, call: &Call) -> Decision {
+        let servers = self.fleet.servers_of(&call.service).iter();
+        let paused = servers.filter(|s| s.is_paused(now) && self.is_destination(call, s));
+        match paused.filter_map(|s| s.paused_until()).min() {
+            Some(end) => self.refuse(now, call, Reason::Paused, end.since(now)),
+            None => self.refuse(now, call, Reason::NoServer, NO_SERVER_RETRY_DELAY),
+        }
+    }
+
     /// Refuses a request for which capacity is expected after `capacity_delay`.
     fn refuse(&mut self, now: Timestamp, call: &Call, reason: Reason, capacity_delay: Duration) -> Decision {
         let max_delay = call.deadline.since(now).mul_f64(MAX_RETRY_DELAY_FRACTION);
@@ -207,7 +217,7 @@
                     continue;
                 }
                 Some(_) => self.refuse(now, &call, Reason::Overload, Duration::ZERO),
-                None => self.refuse(now, &call, Reason::NoServer, NO_SERVER_RETRY_DELAY),
+                None => self.refuse_without_server(now, &call),
             };
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.remove(&ticket);
--- a/crates/state/src/steering/engine/selection.rs
+++ b/crates/state/src/steering/engine/selection.rs
@@ -264,15 +264,19 @@
         ranks
     }
 
-    /// Whether a request may be sent to a server, regardless of its load.
-    pub(super) fn is_eligible(&self, now: Timestamp, call: &Call, server: &Server) -> bool {
+    /// Whether the route, the evacuations and the earlier sends of a request allow to send it to a server.
+    pub(super) fn is_destination(&self, call: &Call, server: &Server) -> bool {
         let entry = &server.entry;
         let is_home_region =
             call.route.home_regions.is_empty() || call.route.home_regions.contains(&entry.region);
-        is_home_region
+        is_home_region && !self.evacuated.contains(&entry.domain) && !call.tried_backends.contains(&entry.id)
+    }
+
+    /// Whether a request may be sent to a server, regardless of its load.
+    pub(super) fn is_eligible(&self, now: Timestamp, call: &Call, server: &Server) -> bool {
+        self.is_destination(call, server)
             && server.is_usable(now)
-            && !self.evacuated.contains(&entry.domain)
-            && !call.tried_backends.contains(&entry.id)
+            && !server.is_resuming_with_request(now)
             && (!server.is_cold(now) || self.may_send_to_cold(now, server))
     }
 
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 
 use crate::id::{Backend, Domain, Region, Service};
-use crate::steering::affinity::{WarmSet, server_hash};
+use crate::steering::affinity::{ObjectId, WarmSet, score, server_hash};
 use crate::steering::departures::{EntryVersion, is_late_write};
 use crate::steering::warmup::WarmupWindow;
 use crate::time::Timestamp;
@@ -36,6 +36,16 @@
 /// Maximum backoff after connection failures.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Longest pause that a server can ask for. A longer one is cut to it.
+pub const MAX_PAUSE: Duration = Duration::from_secs(300);
+
+/// Maximum fraction of a pause, and maximum time, by which a daemon returns later than asked for, so that the daemons that
+/// were told at the same time do not return together.
+const PAUSE_SPREAD: (f64, Duration) = (0.1, Duration::from_millis(500));
+
+/// Time after a pause in which a daemon has at most one request at the server, so that the end of a pause is no burst.
+const RESUME_WINDOW: Duration = Duration::from_secs(1);
+
 /// Maximum ratio that is accepted in a [`Slowdown`].
 const MAX_SLOWDOWN: f64 = 1_000.0;
 
@@ -134,6 +144,10 @@
     leaving: bool,
     /// Time at which the entry was applied.
     listed_at: Timestamp,
+    /// End of the pause that the server asked for. `None` if it asked for none since the last one ended.
+    paused_until: Option<Timestamp>,
+    /// Time at which the last pause ended.
+    resumed_at: Option<Timestamp>,
 }
 
 impl Server {
@@ -160,6 +174,8 @@
             misdirected: false,
             leaving: false,
             listed_at: now,
+            paused_until: None,
+            resumed_at: None,
         }
     }
 
@@ -187,6 +203,43 @@
         is_late_write(now, entry, &self.entry.version, self.listed_at)
     }
 
+    /// Begins a pause, or extends it. Returns whether the server was not paused.
+    ///
+    /// A pause changes neither the objects of the server nor what is known of its health.
+    pub fn pause(&mut self, now: Timestamp, duration: Duration) -> bool {
+        let duration = duration.min(MAX_PAUSE);
+        let unit = score(self.hash, ObjectId(now.0)) as f64 / u64::MAX as f64;
+        let spread = duration.mul_f64(PAUSE_SPREAD.0).min(PAUSE_SPREAD.1).mul_f64(unit);
+        let was_paused = self.is_paused(now);
+        self.paused_until = self.paused_until.max(Some(now + duration + spread));
+        !was_paused
+    }
+
+    /// Whether the server is paused.
+    pub fn is_paused(&self, now: Timestamp) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// End of the last pause. `None` if it was recorded by [`end_pause`](Self::end_pause).
+    pub fn paused_until(&self) -> Option<Timestamp> {
+        self.paused_until
+    }
+
+    /// Ends a pause whose time has passed. Returns whether it did.
+    pub fn end_pause(&mut self, now: Timestamp) -> bool {
+        let Some(until) = self.paused_until.take_if(|until| now >= *until) else {
+            return false;
+        };
+        self.resumed_at = Some(until);
+        true
+    }
+
+    /// Whether a pause has just ended and the server has a request of this daemon already.
+    pub fn is_resuming_with_request(&self, now: Timestamp) -> bool {
+        let resumed_at = self.paused_until.or(self.resumed_at);
+        self.in_flight > 0 && resumed_at.is_some_and(|at| now.since(at) < RESUME_WINDOW)
+    }
+
     /// Records that the server announced that it leaves. Returns whether that was not known.
     pub fn mark_leaving(&mut self) -> bool {
         !std::mem::replace(&mut self.leaving, true)
@@ -209,7 +262,11 @@
 
     /// Whether requests may be sent to the server, regardless of its load and warm-up.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        !self.entry.draining && !self.leaving && !self.misdirected && now >= self.backoff_until
+        !self.entry.draining
+            && !self.leaving
+            && !self.misdirected
+            && now >= self.backoff_until
+            && !self.is_paused(now)
     }
 
     /// Whether the server is cold or may be, so that the rate limit of cold servers applies.
@@ -296,7 +353,8 @@
             && !self.probe_in_progress
             && now >= self.backoff_until
             && !self.entry.draining
-            && !self.leaving;
+            && !self.leaving
+            && !self.is_paused(now);
         self.probe_in_progress |= due;
         due
     }
