Apply what a server announces before the next request is sent to it

The end of a send may release a queued request to the same server, before the announcement in the response was applied. The announcement goes first now; the limits on both states allow for the earlier order, so no test fails without it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -255,7 +255,7 @@
             shared.steering.borrow_mut().record_load(now, &choice.backend, *load);
         }
         self.log_send(choice, &guard.outcome, started, now);
-        drop(guard);
+        // Before the guard is dropped, which may send a queued request to the server.
         if let SendResult::Response(_, metadata) = &sent {
             notices::record(shared, &choice.backend, metadata, self.request_id());
         }
