Keep large responses within the failure domain of the daemon

Cause: objects are spread over all servers of their home region, so half of the bytes of large responses cross failure domains, and the objects that do not fit into a small region are chosen without regard to their size. Change: the home of an object of a route with large responses is a failure domain, and such objects are the last to leave a region that is too small.

--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -58,6 +58,7 @@
         timeout: None,
         max_attempts: 2,
         affinity: true,
+        large_responses: false,
         home_regions: Vec::new(),
         destinations: vec![Destination { service: "desk".parse().unwrap(), weight: 1 }],
     };
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -121,6 +121,8 @@
     /// Time of the latest request for each object in use.
     objects: BTreeMap<ObjectId, Timestamp>,
     demand: BTreeMap<Priority, SlotDemand>,
+    /// The part of the demand that is for routes with large responses.
+    large_response_demand: SlotDemand,
     home_demand: HomeDemand,
     dispatch_rates: BTreeMap<Priority, DispatchRate>,
 }
@@ -130,6 +132,15 @@
     fn slots_in_use(&self, now: Timestamp) -> f64 {
         self.demand.values().map(|demand| demand.slots_since_start(now)).sum()
     }
+
+    /// Fraction of the slots in use that requests of routes with large responses use.
+    fn large_response_fraction(&self, now: Timestamp) -> f64 {
+        let total: f64 = self.demand.values().map(|demand| demand.slots(now)).sum();
+        if total <= 0.0 {
+            return 0.0;
+        }
+        (self.large_response_demand.slots(now) / total).min(1.0)
+    }
 }
 
 /// The load balancer of a daemon that forwards requests.
@@ -360,6 +371,9 @@
         let state = self.service_state(&service);
         state.retry_budget.record_request(now);
         state.demand.entry(route.priority).or_default().add(now, work, route.latency_objective);
+        if route.large_responses {
+            state.large_response_demand.add(now, work, route.latency_objective);
+        }
         if route.affinity {
             state.objects.insert(object, now);
         }
@@ -384,6 +398,7 @@
             queue: BTreeMap::new(),
             objects: BTreeMap::new(),
             demand: BTreeMap::new(),
+            large_response_demand: SlotDemand::default(),
             home_demand: HomeDemand::default(),
             dispatch_rates: BTreeMap::new(),
         })
--- a/crates/state/src/steering/engine/selection.rs
+++ b/crates/state/src/steering/engine/selection.rs
@@ -9,11 +9,12 @@
 
 use rapidhash::v3::rapidhash_v3;
 
-use crate::id::Region;
+use crate::id::{Domain, Region};
 use crate::steering::affinity::score;
 use crate::steering::engine::Steering;
 use crate::steering::engine::call::{Call, SelectedBackend};
 use crate::steering::engine::estimates::{INITIAL_RUN_SECONDS, SlotDemand};
+use crate::steering::plan::Route;
 use crate::steering::server::Server;
 use crate::steering::warmup::allowance;
 use crate::time::Timestamp;
@@ -99,17 +100,47 @@
     occupancy: f64,
 }
 
-/// The servers of one region with the highest rendezvous scores for an object.
-struct RegionPreference<'a> {
+/// The servers among which one copy of an object's state is kept: those of a region or, for routes with large responses,
+/// of a failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Place<'a> {
     region: &'a Region,
+    /// `None` for all failure domains of the region.
+    domain: Option<&'a Domain>,
+}
+
+impl<'a> Place<'a> {
+    /// The place of a server for the requests of a route.
+    ///
+    /// Large responses stay within the failure domain of the daemon, because the traffic between failure domains costs
+    /// more than a second copy of the state.
+    fn of(server: &'a Server, route: &Route) -> Self {
+        let domain = route.large_responses.then_some(&server.entry.domain);
+        Self { region: &server.entry.region, domain }
+    }
+
+    fn contains(&self, server: &Server) -> bool {
+        *self.region == server.entry.region && self.domain.is_none_or(|domain| *domain == server.entry.domain)
+    }
+
+    /// Hash of the name, for rendezvous scores.
+    fn hash(&self) -> u64 {
+        let region = rapidhash_v3(self.region.as_str().as_bytes());
+        self.domain.map_or(region, |domain| region.rotate_left(17) ^ rapidhash_v3(domain.as_str().as_bytes()))
+    }
+}
+
+/// The servers of one place with the highest rendezvous scores for an object.
+struct PlacePreference<'a> {
+    place: Place<'a>,
     usable_servers: usize,
     slots: f64,
     /// Score and position of the servers, the highest score first.
     best: [Option<(u64, usize)>; WARM_PRIOR_HOME.len()],
 }
 
-impl RegionPreference<'_> {
-    /// Counts a usable server of the region, and adds it to `best` if its score is high enough.
+impl PlacePreference<'_> {
+    /// Counts a usable server of the place, and adds it to `best` if its score is high enough.
     fn insert(&mut self, score: u64, position: usize, slots: u32) {
         self.usable_servers += 1;
         self.slots += f64::from(slots);
@@ -131,6 +162,16 @@
     warm_prior: f64,
 }
 
+/// Position of an object, from 0 to 1, in the order in which the objects of a service may stay in the region of their
+/// clients. Objects of routes with large responses, which cause `large_fraction` of the load, come before all others.
+fn overflow_rank(call: &Call, large_fraction: f64) -> f64 {
+    let rank = 1.0 - unit_interval(score(OVERFLOW_SEED, call.object));
+    if call.route.large_responses {
+        return rank * large_fraction;
+    }
+    large_fraction + rank * (1.0 - large_fraction)
+}
+
 /// Maps a hash to the open interval from 0 to 1.
 fn unit_interval(hash: u64) -> f64 {
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
@@ -144,8 +185,8 @@
     ranks: BTreeMap<usize, usize>,
     /// Regions with usable servers, and whether the limit on region shifts allows a request to them.
     regions: Vec<(&'a Region, bool)>,
-    /// Region whose servers should keep the object warm.
-    home_region: Option<&'a Region>,
+    /// Place whose servers should keep the object warm.
+    home: Option<Place<'a>>,
     load: ServiceLoad,
 }
 
@@ -164,8 +205,8 @@
                 continue;
             }
             let rank = snapshot.ranks.get(&n).copied();
-            let in_home_region = snapshot.home_region == Some(&server.entry.region);
-            let prior = if in_home_region { WARM_PRIOR_HOME } else { WARM_PRIOR_AWAY };
+            let is_home = snapshot.home.is_some_and(|home| home.contains(server));
+            let prior = if is_home { WARM_PRIOR_HOME } else { WARM_PRIOR_AWAY };
             let preference =
                 Preference { rank, warm_prior: rank.map_or(WARM_PRIOR_OTHER, |rank| prior[rank]) };
             let candidate =
@@ -184,7 +225,7 @@
     /// Computes the state of all servers of a service in one pass.
     fn snapshot<'a>(&'a self, now: Timestamp, call: &Call, servers: &'a [Server]) -> ServiceSnapshot<'a> {
         let mut occupancies = Vec::with_capacity(servers.len());
-        let mut preferences: Vec<RegionPreference<'_>> = Vec::new();
+        let mut preferences: Vec<PlacePreference<'_>> = Vec::new();
         let (mut occupied, mut slots) = (0.0, 0.0);
         for (n, server) in servers.iter().enumerate() {
             let occupancy = server.occupancy(now);
@@ -194,11 +235,11 @@
             }
             occupied += occupancy;
             slots += f64::from(server.entry.slots);
-            let region = &server.entry.region;
-            let list = match preferences.iter().position(|p| p.region == region) {
+            let place = Place::of(server, &call.route);
+            let list = match preferences.iter().position(|p| p.place == place) {
                 Some(found) => &mut preferences[found],
-                None => preferences.push_mut(RegionPreference {
-                    region,
+                None => preferences.push_mut(PlacePreference {
+                    place,
                     usable_servers: 0,
                     slots: 0.0,
                     best: Default::default(),
@@ -210,49 +251,50 @@
         let is_allowed = |region| !is_limited || self.shift_limiter.allows(region, self.cfg.max_shift);
         let slot_pressure = slot_pressure(occupied / f64::max(slots, 1.0));
         let load = ServiceLoad { slot_pressure, reserves_slots: self.must_reserve_slots(now, call) };
-        let regions = preferences.iter().map(|p| (p.region, is_allowed(p.region))).collect();
-        let home_region = self.home_region(now, call, &preferences);
-        ServiceSnapshot {
-            occupancies,
-            ranks: self.preference_ranks(call, &preferences),
-            regions,
-            home_region,
-            load,
-        }
+        let regions = preferences.iter().map(|p| (p.place.region, is_allowed(p.place.region))).collect();
+        let home = self.home(now, call, &preferences);
+        ServiceSnapshot { occupancies, ranks: self.preference_ranks(call, &preferences), regions, home, load }
     }
 
-    /// The region whose servers should keep an object warm.
+    /// The place whose servers should keep an object warm.
     ///
-    /// All daemons of a region select the same one: their own region, or another one by weighted rendezvous hashing for
-    /// the fraction of the objects whose load does not fit in their own.
-    fn home_region<'a>(
+    /// All daemons of a region select the same region: their own, or another one by weighted rendezvous hashing for
+    /// the fraction of the objects whose load does not fit in their own. Objects with small responses are the first to
+    /// leave. Within its own region, a daemon prefers the place that contains its failure domain.
+    fn home<'a>(
         &self,
         now: Timestamp,
         call: &Call,
-        preferences: &[RegionPreference<'a>],
-    ) -> Option<&'a Region> {
-        let own = preferences.iter().find(|p| *p.region == self.cfg.region);
-        let needed = self
-            .services
-            .get(&call.service)
-            .map_or(0.0, |state| state.home_demand.slots(state.slots_in_use(now)) * self.sharing_load as f64);
-        let available = own.map_or(0.0, |own| own.slots * MAX_HOME_LOAD_FRACTION);
-        if own.is_some() && needed * (1.0 - unit_interval(score(OVERFLOW_SEED, call.object))) <= available {
-            return own.map(|own| own.region);
+        preferences: &[PlacePreference<'a>],
+    ) -> Option<Place<'a>> {
+        let is_own = |p: &&PlacePreference<'a>| *p.place.region == self.cfg.region;
+        let available: f64 = preferences.iter().filter(is_own).map(|p| p.slots).sum();
+        let (needed, large_fraction) = self.services.get(&call.service).map_or((0.0, 0.0), |state| {
+            let slots = state.home_demand.slots(state.slots_in_use(now)) * self.sharing_load as f64;
+            (slots, state.large_response_fraction(now))
+        });
+        let rank = overflow_rank(call, large_fraction);
+        let stays = available > 0.0 && needed * rank <= available * MAX_HOME_LOAD_FRACTION;
+        let nearest = preferences
+            .iter()
+            .filter(is_own)
+            .find(|p| p.place.domain.is_none_or(|domain| *domain == self.cfg.domain));
+        if stays && let Some(nearest) = nearest {
+            return Some(nearest.place);
         }
-        let others = preferences.iter().filter(|p| *p.region != self.cfg.region);
-        let weighted = |p: &RegionPreference<'_>| {
-            let hash = score(rapidhash_v3(p.region.as_str().as_bytes()), call.object);
+        let candidates = preferences.iter().filter(|p| is_own(p) == stays);
+        let weighted = |p: &PlacePreference<'_>| {
+            let hash = score(p.place.hash(), call.object);
             -p.slots / unit_interval(hash).ln()
         };
-        others.max_by(|a, b| weighted(a).total_cmp(&weighted(b))).map(|p| p.region)
+        candidates.max_by(|a, b| weighted(a).total_cmp(&weighted(b))).map(|p| p.place)
     }
 
     /// The preference list of an object, as a map from the position of a server to its rank within its region.
     ///
-    /// In each region the list has the servers with the highest rendezvous scores, as many as can keep all objects
+    /// In each place the list has the servers with the highest rendezvous scores, as many as can keep all objects
     /// warm. All daemons of a region compute the same list, so an object stays on few servers.
-    fn preference_ranks(&self, call: &Call, preferences: &[RegionPreference<'_>]) -> BTreeMap<usize, usize> {
+    fn preference_ranks(&self, call: &Call, preferences: &[PlacePreference<'_>]) -> BTreeMap<usize, usize> {
         let objects = self.services.get(&call.service).map_or(1, |s| s.objects.len()).max(1);
         let mut ranks = BTreeMap::new();
         for list in preferences {
--- a/crates/state/src/steering/plan.rs
+++ b/crates/state/src/steering/plan.rs
@@ -54,6 +54,8 @@
     pub max_attempts: u32,
     /// Whether requests for the same object are sent to the same server.
     pub affinity: bool,
+    /// Whether responses are large, so that the traffic between failure domains decides where requests are sent.
+    pub large_responses: bool,
     /// Regions that may serve the requests. Empty if all regions may.
     pub home_regions: Vec<Region>,
     /// Services among which the requests are distributed. At least one.
--- a/crates/state/tests/steering_support/mod.rs
+++ b/crates/state/tests/steering_support/mod.rs
@@ -49,6 +49,7 @@
         timeout: Some(Duration::from_millis(800)),
         max_attempts: 2,
         affinity: true,
+        large_responses: false,
         home_regions: Vec::new(),
         destinations: vec![Destination { service: "desk".parse().unwrap(), weight: 1 }],
     }
