Authenticate client requests by API key

Cause: the configuration may list client accounts, and requests then need a key of one of them.

Change: `state::steering::accounts` checks the accounts of a configuration version and looks keys up without allocation. A fault in one account has a documented effect, is counted and logged, and gives no access to another account. The gateway authenticates a request before it reads the body, and checks the key again before each send, so that a key that a version removed is not used by requests that wait or are sent again. The account's priority and home regions apply on top of the route's. Servers get the account's name and never the key or the client's own name.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, StatusCode, Uri};
 use medlarstair_state::config::Entry;
 use medlarstair_state::id::{Backend, Domain, Region};
+use medlarstair_state::steering::accounts::AccountName;
 use medlarstair_state::steering::affinity::ObjectId;
 use medlarstair_state::steering::{BackendEntry, LoadReport, Plan};
 
@@ -24,6 +25,19 @@
     pub object: Option<ObjectId>,
 }
 
+/// API key in the headers of a client's request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum ClientKey<'a> {
+    /// The request has no key.
+    Missing,
+    /// The request has more than one key.
+    Repeated,
+    /// The header of the key has another form.
+    Malformed,
+    /// The key.
+    Key(&'a [u8]),
+}
+
 /// Request of a backend server to receive nothing for some time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PauseRequest {
@@ -99,6 +113,11 @@
     /// Sets the headers that a backend server needs: the identity of the intended server and the time `left` until the
     /// deadline of the request.
     fn set_backend_headers(&self, headers: &mut HeaderMap, backend: &Backend, left: Duration);
+    /// Reads the API key of a client's request.
+    fn client_key<'a>(&self, headers: &'a HeaderMap) -> ClientKey<'a>;
+    /// Removes the API key and the client's own account header, and sets that header to the name of the account. Called
+    /// only if accounts are configured; `account` is `None` for a request without one.
+    fn set_account_headers(&self, headers: &mut HeaderMap, account: Option<&AccountName>);
     /// Reads the head of a backend server's response.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMetadata;
     /// Reads the head of the response to a health check. Returns `None` unless the server is healthy.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use medlarstair_state::id::Backend;
+use medlarstair_state::steering::accounts::Account;
 use medlarstair_state::steering::affinity::ObjectId;
 use medlarstair_state::steering::engine::Reason;
 use medlarstair_state::steering::plan::{Plan, RetrySafety, Route};
@@ -25,6 +26,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::accounts;
 use crate::adapter::{Adapter, PauseRequest, RequestMetadata, ResponseMetadata};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
@@ -46,6 +48,9 @@
 /// `Retry-After` delay of a refusal by a daemon that is stopping. The client can use another daemon at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Response to a client, whose body is complete.
+pub type ClientResponse = Response<Full<Bytes>>;
+
 /// A client request that is being forwarded.
 struct Forward<'a, A: Adapter> {
     shared: &'a Rc<Shared<A>>,
@@ -53,6 +58,10 @@
     metadata: RequestMetadata,
     body: Bytes,
     call: Call,
+    /// Account of the client. `None` if no accounts are configured, or on a public route.
+    account: Option<Rc<Account>>,
+    /// Whether accounts are configured, so that servers must not get the client's own account headers.
+    sets_account_headers: bool,
     /// Whether a server may have run the request, so that the client must not be told that it was not run.
     may_have_run: bool,
 }
@@ -81,6 +90,10 @@
         }
         return empty_response(StatusCode::NOT_FOUND);
     };
+    let Admitted { account, route } = match admit(shared, &plan, route, &head) {
+        Ok(admitted) => admitted,
+        Err(res) => return *res,
+    };
     let body_max = plan.limits.max_body_bytes.min(MAX_BODY_BYTES);
     let body = match Limited::new(body, body_max).collect().await {
         Ok(body) => body.to_bytes(),
@@ -101,7 +114,16 @@
         // sent.
         call.deadline = call.deadline.min(shutdown.response_deadline);
     }
-    let mut forward = Forward { shared, head: &head, metadata, body, call, may_have_run: false };
+    let mut forward = Forward {
+        shared,
+        head: &head,
+        metadata,
+        body,
+        call,
+        account,
+        sets_account_headers: plan.accounts().is_configured(),
+        may_have_run: false,
+    };
     let (res, outcome) = forward.run().await;
     let took = shared.now().since(arrived);
     forward.log_end(res.status(), outcome, took);
@@ -110,6 +132,50 @@
     res
 }
 
+/// A request whose account may use its route.
+struct Admitted {
+    /// Account of the client. `None` if no accounts are configured, or on a public route.
+    account: Option<Rc<Account>>,
+    /// The route as it applies to the account.
+    route: Rc<Route>,
+}
+
+/// Authenticates a request before its body is read.
+///
+/// # Errors
+///
+/// The response to a request that is rejected.
+fn admit<A: Adapter>(
+    shared: &Shared<A>,
+    plan: &Plan,
+    route: Rc<Route>,
+    head: &Parts,
+) -> Result<Admitted, Box<ClientResponse>> {
+    let reject = |account: Option<&Account>, reason: &str| {
+        let attempt = shared.adapter.parse_request(&head.headers).attempt_id;
+        accounts::record_rejection(shared, &route, account, reason, attempt_text(attempt.as_ref()));
+    };
+    let account = match accounts::authenticate(&shared.adapter, plan, &route, &head.headers) {
+        Ok(Some(account)) => account,
+        Ok(None) => return Ok(Admitted { account: None, route }),
+        Err(fault) => {
+            reject(None, &fault.to_string());
+            return Err(Box::new(accounts::unauthorized_response()));
+        }
+    };
+    let Some(own_route) = route.for_account(&account) else {
+        let reason = Reason::NoRegion;
+        reject(Some(&account), &reason.to_string());
+        return Err(Box::new(refusal_response(Refusal { reason, retry_after: DEFAULT_RETRY_AFTER })));
+    };
+    Ok(Admitted { account: Some(account), route: Rc::new(own_route) })
+}
+
+/// Identity of a client's attempt for the log; `-` if there is none.
+fn attempt_text(attempt: Option<&HeaderValue>) -> &str {
+    attempt.and_then(|v| v.to_str().ok()).unwrap_or("-")
+}
+
 /// Returns the route of a request by its `Host` header and path. `None` if there is no matching route.
 fn find_route(plan: &Plan, head: &Parts) -> Option<Rc<Route>> {
     let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok())?;
@@ -225,12 +291,29 @@
             decision => decision,
         };
         match decision {
-            Decision::Send(choice) => Ok(choice),
+            Decision::Send(choice) => self.authorize_send(choice),
             Decision::Refuse(refusal) => Err(refusal),
             Decision::Wait(_) => Err(Refusal { reason: Reason::Overload, retry_after: DEFAULT_RETRY_AFTER }),
         }
     }
 
+    /// Checks that the account may still send the request. Otherwise the send is reported as cancelled.
+    fn authorize_send(&self, choice: SelectedBackend) -> Result<SelectedBackend, Refusal> {
+        let shared = &**self.shared;
+        let Some(account) = &self.account else {
+            return Ok(choice);
+        };
+        let Err(reason) = accounts::check_still_valid(shared, account, &self.head.headers) else {
+            return Ok(choice);
+        };
+        let now = shared.now();
+        shared.steering.borrow_mut().record_outcome(now, &self.call, &choice, SendOutcome::Cancelled);
+        shared.deliver_decisions();
+        let route = &self.call.route;
+        accounts::record_rejection(shared, route, Some(account), &reason.to_string(), self.request_id());
+        Err(Refusal { reason, retry_after: DEFAULT_RETRY_AFTER })
+    }
+
     /// Waits until the queued request can be sent or is refused. Returns [`Decision::Wait`] if its deadline passes first.
     async fn wait_in_queue(&self, ticket: QueueTicket) -> Decision {
         let shared = &**self.shared;
@@ -325,7 +408,7 @@
 
     /// Identity of the client's attempt for the log; `-` if there is none.
     fn request_id(&self) -> &str {
-        self.metadata.attempt_id.as_ref().and_then(|v| v.to_str().ok()).unwrap_or("-")
+        attempt_text(self.metadata.attempt_id.as_ref())
     }
 
     /// Sends the request over an idle connection or, if there is none or it has been closed, over a new one.
@@ -392,6 +475,10 @@
         *req.uri_mut() = path.as_str().parse().ok()?;
         *req.headers_mut() = end_to_end_headers(&self.head.headers);
         self.shared.adapter.set_backend_headers(req.headers_mut(), backend, left);
+        if self.sets_account_headers {
+            let name = self.account.as_ref().map(|account| &account.name);
+            self.shared.adapter.set_account_headers(req.headers_mut(), name);
+        }
         Some(req)
     }
 
@@ -443,7 +530,11 @@
 
 /// Creates a response that promises that the request was not run.
 fn refusal_response(refusal: Refusal) -> Response<Full<Bytes>> {
-    let mut res = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    let mut res = match refusal.reason {
+        Reason::Revoked => return accounts::unauthorized_response(),
+        Reason::Quota => empty_response(StatusCode::TOO_MANY_REQUESTS),
+        _ => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+    };
     let seconds = format!("{:.3}", refusal.retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         res.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! The request path uses `hyper` on both sides. `actix-web` does not tell a pending handler that its client has
 //! disconnected, so abandoned work could not be cancelled, and `awc` returns truncated responses as complete ones.
 
+pub mod accounts;
 pub mod adapter;
 pub mod config;
 pub mod control;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,10 @@
     pub connections: IntCounterVec,
     /// Announcements of backend servers in their responses, by kind.
     pub notices: IntCounterVec,
+    /// Requests that were rejected because of their account, by reason.
+    pub account_rejections: IntCounterVec,
+    /// Faults in the client accounts of the configuration versions that came into effect, by kind.
+    pub account_faults: IntCounterVec,
 }
 
 impl Metrics {
@@ -41,11 +45,24 @@
             counter("medlarstair_connections_total", "Connections opened to backend servers", &["service"])?;
         let notices =
             counter("medlarstair_server_notices_total", "Announcements of backend servers", &["kind"])?;
+        let account_rejections =
+            counter("medlarstair_account_rejections_total", "Requests rejected by account", &["reason"])?;
+        let account_faults =
+            counter("medlarstair_account_faults_total", "Faulty client accounts", &["kind"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
         registry.register(Box::new(latency.clone()))?;
-        Ok(Self { registry, requests, latency, sends, connections, notices })
+        Ok(Self {
+            registry,
+            requests,
+            latency,
+            sends,
+            connections,
+            notices,
+            account_rejections,
+            account_faults,
+        })
     }
 
     /// Encodes all metrics in the text format.
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::accounts;
 use crate::adapter::{Adapter, StoreUpdate};
 use crate::eventlog::log_store_failure;
 use crate::membership::{MEMBER_PREFIX, Member};
@@ -160,7 +161,11 @@
         match shared.adapter.parse_entry(&entry) {
             StoreUpdate::Plan(plan) => {
                 let version = plan.version;
+                let accounts = plan.accounts().clone();
                 let in_force = shared.steering.borrow_mut().apply_plan(*plan);
+                if in_force {
+                    accounts::record_faults(shared, &accounts);
+                }
                 slog::info!(shared.events.logger(), "routing configuration received"; "code" => 510,
                     "version" => version.0, "revision" => entry.revision.0, "in_force" => in_force);
             }
--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -52,6 +52,7 @@
         name: "lookup".into(),
         host: "a.example".into(),
         prefix: "/r/".into(),
+        public: false,
         retry_safety: RetrySafety::Idempotent,
         priority: Priority(1),
         latency_objective: OBJECTIVE,
--- a/crates/state/src/steering/engine/call.rs
+++ b/crates/state/src/steering/engine/call.rs
@@ -72,6 +72,18 @@
     /// All servers of the service that could be used have asked for a pause.
     #[display("paused")]
     Paused,
+    /// The API key of the request was removed while the request was handled.
+    #[display("revoked")]
+    Revoked,
+    /// The API key of the request was given to another account while the request was handled.
+    #[display("key-moved")]
+    KeyMoved,
+    /// The account and the route have no home region in common.
+    #[display("no-region")]
+    NoRegion,
+    /// The quota of the account is used up.
+    #[display("quota")]
+    Quota,
     /// The daemon is stopping and could not complete the request.
     #[display("stopping")]
     Stopping,
--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -4,6 +4,7 @@
 //! sent. The parts are separate modules because each of them handles one load pattern:
 //!
 //! - [`plan`]: routes, services and limits of one configuration version.
+//! - [`accounts`]: client accounts, their API keys, priorities, home regions and quotas.
 //! - [`departures`]: servers that leave, and entries that are written late.
 //! - [`server`]: the estimated state of a backend server: entry, load, latency factor, failure rate, warm-up.
 //! - [`affinity`]: which server holds the state of an object, so that repeated work finds it cached.
@@ -17,6 +18,7 @@
 //! - [`poison`]: refuses requests that crash the servers which run them.
 //! - [`engine`]: combines the above; the only entry point for a daemon.
 
+pub mod accounts;
 pub mod affinity;
 pub mod capacity;
 pub mod departures;
--- a/crates/state/src/steering/plan.rs
+++ b/crates/state/src/steering/plan.rs
@@ -1,11 +1,13 @@
 //! The routing configuration: routes, services and limits of one configuration version.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
 
 use crate::id::{Region, Service};
+use crate::steering::accounts::{Account, AccountId, Accounts};
 
 /// Version of a configuration. A daemon never reverts to a lower version.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
@@ -42,6 +44,8 @@
     pub host: Box<str>,
     /// Prefix of the path, with a leading and a trailing slash.
     pub prefix: Box<str>,
+    /// Whether requests without an API key are served although accounts are configured.
+    pub public: bool,
     /// Whether requests may be retried when they may already have run.
     pub retry_safety: RetrySafety,
     /// Priority in the queue of the daemon.
@@ -60,6 +64,24 @@
     pub destinations: Vec<Destination>,
 }
 
+impl Route {
+    /// The route as it applies to the requests of an account: with the account's priority, and in the regions that both
+    /// allow. `None` if they have no region in common.
+    pub fn for_account(&self, account: &Account) -> Option<Self> {
+        let mut route = self.clone();
+        route.priority = account.priority.unwrap_or(self.priority);
+        if account.home_regions.is_empty() {
+            return Some(route);
+        }
+        if self.home_regions.is_empty() {
+            route.home_regions.clone_from(&account.home_regions);
+            return Some(route);
+        }
+        route.home_regions.retain(|region| account.home_regions.contains(region));
+        (!route.home_regions.is_empty()).then_some(route)
+    }
+}
+
 /// A service of backend servers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
@@ -129,6 +151,7 @@
     /// Indexes of the routes of each host, the longest prefix first.
     hosts: BTreeMap<Box<str>, Vec<usize>>,
     services: BTreeMap<Service, ServiceSpec>,
+    accounts: Accounts,
 }
 
 impl Plan {
@@ -161,7 +184,32 @@
         for list in hosts.values_mut() {
             list.sort_by_key(|&n| std::cmp::Reverse(routes[n].prefix.len()));
         }
-        Ok(Self { version, limits, routes, hosts, services })
+        Ok(Self { version, limits, routes, hosts, services, accounts: Accounts::default() })
+    }
+
+    /// Adds the client accounts to a configuration.
+    pub fn with_accounts(mut self, accounts: Accounts) -> Self {
+        self.accounts = accounts;
+        self
+    }
+
+    /// The client accounts.
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
+    /// The account of an API key. Does not allocate.
+    pub fn account_of_key(&self, key: &[u8]) -> Option<AccountId> {
+        self.accounts.of_key(key)
+    }
+
+    /// An account by its index in this configuration.
+    ///
+    /// # Panics
+    ///
+    /// If the index is of another configuration version that has more accounts.
+    pub fn account(&self, id: AccountId) -> &Rc<Account> {
+        self.accounts.get(id)
     }
 
     /// The route of a request: among the routes of its host, the one with the longest prefix of `path`.
--- a/crates/state/tests/steering_support/mod.rs
+++ b/crates/state/tests/steering_support/mod.rs
@@ -43,6 +43,7 @@
         name: name.into(),
         host: "a.example".into(),
         prefix: prefix.into(),
+        public: false,
         retry_safety: RetrySafety::Idempotent,
         priority: Priority(1),
         latency_objective: OBJECTIVE,
