Follow the key-value service through a restoration from an older copy

Cause: the daemon compared revisions without regard to the era of the service. After a restoration it ignored changes with reused revisions, used withdrawn servers that the copy still lists, dropped servers that had registered after the copy was made, and went on renewing a lease whose number belonged to another daemon.

After an increase, the watcher lists again. The new module store_view decides without I/O what of the copy is applied: withdrawn keys are withheld until they are written again, and missing ones are kept for a grace period, so that the number of daemons, by which limits are divided, does not fall. The daemon takes a new lease and writes its entry. Failed renewals are logged with their cause, and calls to the service are counted by kind and result.

--- a/crates/gateway/src/eventlog.rs
+++ b/crates/gateway/src/eventlog.rs
@@ -104,8 +104,16 @@
     }
 }
 
-/// Logs the failure of a call to the key-value service, within the line budget of that event.
+/// Logs the failure of a call to the key-value service, within the line budget of that event. Also counts responses of an
+/// earlier era.
 pub fn log_store_failure<A: Adapter>(shared: &Shared<A>, cause: &StoreError) {
+    if cause.is_earlier_era() {
+        shared.metrics.store_eras.with_label_values(&["earlier"]).inc();
+        if let Some(log) = shared.events.admit(shared.now(), EventCode(565)) {
+            slog::warn!(log, "response of an earlier era ignored"; "code" => 565, "cause" => %cause);
+        }
+        return;
+    }
     if let Some(log) = shared.events.admit(shared.now(), EventCode(563)) {
         slog::warn!(log, "call to the key-value service failed"; "code" => 563, "cause" => %cause);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod probe;
 pub mod shared;
 pub mod store_outage;
+pub mod store_view;
 pub mod store_watcher;
 
 pub use config::Config;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use medlarstair_state::id::{Domain, Region};
+use medlarstair_state::id::{Domain, Era, Region};
 use medlarstair_state::steering::capacity::{Capacity, advertised};
 use medlarstair_state::steering::engine::DaemonCounts;
 use medlarstair_state::steering::poison::Crash;
@@ -137,21 +137,32 @@
 ) {
     let mut registration: Option<Registration> = None;
     let mut failing = false;
+    let mut era = store.era();
     while shared.phase() == Phase::Serving {
         // Created before the renewal, so that a shutdown that begins during it is not missed.
         let shutdown_started = shared.shutdown_started.notified();
-        let renewed = match timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await {
-            Ok(Ok(renewed)) => {
+        let store_restored = shared.store_restored.notified();
+        let result = timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await;
+        let renewed = match result.map_err(StoreError::new).flatten() {
+            Ok(renewed) => {
                 registration = Some(renewed);
                 true
             }
-            Ok(Err(_)) | Err(_) => false,
+            Err(e) => {
+                log_store_failure(&shared, &e);
+                false
+            }
         };
         if renewed {
             shared.store_outage.borrow_mut().record_response(shared.now());
         } else {
             shared.store_outage.borrow_mut().record_failure();
         }
+        let known_era = std::mem::replace(&mut era, store.era());
+        if known_era != era && known_era != Era::default() {
+            // A pending watch may wait for revisions that the restored service does not have.
+            store_recovered.notify_waiters();
+        }
         if renewed && failing {
             slog::info!(shared.events.logger(), "key-value service answers again"; "code" => 561);
             store_recovered.notify_waiters();
@@ -164,9 +175,11 @@
         tokio::select! {
             () = sleep(period) => {}
             () = shutdown_started => {}
+            () = store_restored => {}
         }
     }
-    if let Some(registration) = registration
+    // The restored service may have given the number of an earlier era's lease to another daemon.
+    if let Some(registration) = registration.filter(|r| r.era == store.era())
         && let Err(e) = store.revoke_lease(registration.lease).await
     {
         slog::warn!(shared.events.logger(), "own entry was not deleted"; "code" => 562, "cause" => %e);
@@ -177,6 +190,8 @@
 #[derive(Debug, Clone)]
 struct Registration {
     lease: LeaseId,
+    /// Era in which the lease was granted.
+    era: Era,
     crashes: Vec<Crash>,
 }
 
@@ -188,8 +203,9 @@
     registration: Option<&Registration>,
 ) -> Result<Registration, StoreError> {
     let crashes = shared.steering.borrow().recent_crashes(shared.now());
-    if let Some(registration) = registration
-        && store.renew_lease(registration.lease).await?
+    if let Some(registration) = registration.filter(|r| r.era == store.era())
+        && renew_lease(shared, store, registration.lease).await?
+        && registration.era == store.era()
     {
         if crashes.iter().all(|crash| registration.crashes.contains(crash)) {
             return Ok(registration.clone());
@@ -205,8 +221,25 @@
         log_store_failure(shared, &cause);
         return Ok(registration.clone());
     }
-    let lease = store.grant_lease(LEASE_TTL).await?;
-    write_registration(shared, store, lease, crashes).await
+    let granted = store.grant_lease(LEASE_TTL).await;
+    count_call(shared, "grant", granted.is_ok());
+    write_registration(shared, store, granted?, crashes).await
+}
+
+async fn renew_lease<A: Adapter, S: RenewableLeaseStore>(
+    shared: &Shared<A>,
+    store: &S,
+    lease: LeaseId,
+) -> Result<bool, StoreError> {
+    let renewed = store.renew_lease(lease).await;
+    count_call(shared, "renew", renewed.is_ok());
+    renewed
+}
+
+/// Counts a call that concerns the own entry.
+fn count_call<A: Adapter>(shared: &Shared<A>, kind: &str, succeeded: bool) {
+    let result = if succeeded { "done" } else { "failed" };
+    shared.metrics.store_calls.with_label_values(&[kind, result]).inc();
 }
 
 /// Writes the entry of this daemon with the crashes under the lease.
@@ -216,11 +249,13 @@
     lease: LeaseId,
     crashes: Vec<Crash>,
 ) -> Result<Registration, StoreError> {
-    let key = format!("{MEMBER_PREFIX}{}", shared.cfg.name);
+    let (key, era) = (format!("{MEMBER_PREFIX}{}", shared.cfg.name), store.era());
     let local = Member { crashes: crashes.clone(), ..shared.members.borrow().local.clone() };
     let value = serde_json::to_string(&local).map_err(StoreError::new)?;
-    match store.put(&key, &value, Precondition::Any, Some(lease)).await {
-        WriteOutcome::Done(_) => Ok(Registration { lease, crashes }),
+    let outcome = store.put(&key, &value, Precondition::Any, Some(lease)).await;
+    count_call(shared, "put", matches!(outcome, WriteOutcome::Done(_)));
+    match outcome {
+        WriteOutcome::Done(_) => Ok(Registration { lease, era, crashes }),
         WriteOutcome::Conflict(_) | WriteOutcome::Rejected | WriteOutcome::Unknown => {
             Err(StoreError::new("the entry of this daemon was not written"))
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,10 @@
     pub connections: IntCounterVec,
     /// Announcements of backend servers in their responses, by kind.
     pub notices: IntCounterVec,
+    /// Calls to the key-value service, by kind and result.
+    pub store_calls: IntCounterVec,
+    /// Changes of the era of the key-value service, by direction. Responses of an earlier era are ignored.
+    pub store_eras: IntCounterVec,
 }
 
 impl Metrics {
@@ -41,11 +45,15 @@
             counter("medlarstair_connections_total", "Connections opened to backend servers", &["service"])?;
         let notices =
             counter("medlarstair_server_notices_total", "Announcements of backend servers", &["kind"])?;
+        let store_calls =
+            counter("medlarstair_store_calls_total", "Calls to the key-value service", &["kind", "result"])?;
+        let store_eras =
+            counter("medlarstair_store_eras_total", "Changes of the era of the service", &["direction"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
         registry.register(Box::new(latency.clone()))?;
-        Ok(Self { registry, requests, latency, sends, connections, notices })
+        Ok(Self { registry, requests, latency, sends, connections, notices, store_calls, store_eras })
     }
 
     /// Encodes all metrics in the text format.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -57,6 +57,8 @@
     pub events: EventLog,
     /// Notified when a graceful shutdown begins.
     pub shutdown_started: Notify,
+    /// Notified when the key-value service has been restored from an older copy, so that the own entry is written again.
+    pub store_restored: Notify,
     clock: BootClock,
     shutdown: Cell<Option<Shutdown>>,
     open_connections: Cell<usize>,
@@ -76,6 +78,7 @@
             metrics,
             events,
             shutdown_started: Notify::new(),
+            store_restored: Notify::new(),
             clock: BootClock::start(),
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -17,7 +17,7 @@
 const EXPIRY_WINDOW: Duration = Duration::from_millis(300);
 
 /// Grace period after an outage in which a running server restores its entry.
-const ENTRY_RESTORE_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
+pub const ENTRY_RESTORE_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 
 /// Availability of the service, as this daemon has observed it.
 #[derive(Debug, Clone, Copy, Default)]
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Records the first response after a restoration of the service from an older copy. The leases of running servers may
+    /// have been lost with it, as in an outage.
+    pub fn record_restoration(&mut self, now: Timestamp, revision: Revision) {
+        self.last_response = now;
+        self.state = State::Recovered { at: now, revision, lasted: MIN_OUTAGE };
+    }
+
     /// Whether calls have failed without a complete response since.
     pub fn is_ongoing(&self) -> bool {
         matches!(self.state, State::Unavailable { .. })
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -1,6 +1,7 @@
 //! Watch of the key-value service for configuration, backend servers, evacuations and daemons.
 //!
-//! A single listing followed by a single watch covers all keys. An older revision of a key never replaces a newer one.
+//! A single listing followed by a single watch covers all keys. An older revision of a key never replaces a newer one. After a
+//! restoration of the service from an older copy, [`StoreView`] decides what of the copy is applied.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,7 +11,7 @@
 use medlarstair_state::config::Entry;
 use medlarstair_state::id::{Backend, Revision};
 use medlarstair_state::time::Timestamp;
-use medlarstair_transport::kv::{Listing, Store, StoreError};
+use medlarstair_transport::kv::{Listing, RenewableLeaseStore, StoreError};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -18,6 +19,8 @@
 use crate::eventlog::log_store_failure;
 use crate::membership::{MEMBER_PREFIX, Member};
 use crate::shared::Shared;
+use crate::store_outage::ENTRY_RESTORE_GRACE_PERIOD;
+use crate::store_view::{StoreView, Verdict};
 
 /// Minimum timeout of a watch. Each watch counts as a billed call.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,19 +39,29 @@
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Grace period after a restoration of the service in which the operator's data is restored. An evacuation that is missing from
+/// the copy stays in effect meanwhile.
+const OPERATOR_RESTORE_GRACE_PERIOD: Duration = Duration::from_secs(10);
+
+/// A server whose entry was deleted in an outage.
+#[derive(Debug)]
+struct PendingRemoval {
+    key: Box<str>,
+    at: Timestamp,
+}
+
 /// Applies the entries of the key-value service to the state of a daemon.
 #[derive(Debug, Default)]
 pub struct StoreWatcher {
-    /// Revision of each key that exists, as last applied.
-    revisions: RefCell<BTreeMap<Box<str>, Revision>>,
-    /// Servers whose entries were deleted during an outage, with the time at which they are removed.
-    pending_removals: RefCell<BTreeMap<Backend, Timestamp>>,
+    view: RefCell<StoreView>,
+    /// Servers whose entries were deleted during an outage, until they are removed or restored.
+    pending_removals: RefCell<BTreeMap<Backend, PendingRemoval>>,
 }
 
 impl StoreWatcher {
     /// Follows the service until the daemon exits. `store_recovered` is notified when the service responds again after an
     /// outage, so that a hanging watch is restarted.
-    pub async fn run<A: Adapter, S: Store>(
+    pub async fn run<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: Rc<Shared<A>>,
         store: Rc<S>,
@@ -70,28 +83,46 @@
         }
     }
 
-    /// Lists and applies all entries, and treats known keys that are missing as deleted. Returns the revision of the
-    /// listing.
-    async fn list_all<A: Adapter, S: Store>(
+    /// Lists and applies all entries, and treats known keys that are missing as deleted, after a restoration with a delay.
+    /// Returns the revision of the listing.
+    async fn list_all<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
         store: &S,
     ) -> Result<Revision, StoreError> {
-        let listing = store.list("").await?;
-        shared.store_outage.borrow_mut().record_success(shared.now(), listing.revision);
+        let listed = store.list("").await;
+        count_call(shared, "list", &listed);
+        let listing = listed?;
         let present: BTreeSet<&str> = listing.entries.iter().map(|e| &*e.key).collect();
-        let deleted: Vec<Box<str>> =
-            self.revisions.borrow().keys().filter(|k| !present.contains(&***k)).cloned().collect();
-        for key in deleted {
-            self.apply(shared, Entry { key, revision: listing.revision, value: None });
-        }
+        let change = self.view.borrow_mut().begin_listing(listing.era, listing.revision, present);
         let revision = listing.revision;
-        self.apply_all(shared, listing);
+        if change.is_restored {
+            record_restoration(shared, &listing);
+        } else {
+            shared.store_outage.borrow_mut().record_success(shared.now(), revision);
+        }
+        for key in change.missing {
+            let deletion = Entry { key, revision, value: None };
+            match change.is_restored {
+                true => self.defer_deletion(shared, &deletion),
+                false => self.apply(shared, deletion),
+            }
+        }
+        self.apply_entries(shared, listing.entries);
         Ok(revision)
     }
 
-    /// Watches until the service has discarded changes after the revision `after`.
-    async fn watch<A: Adapter, S: Store>(
+    /// Keeps an entry that is missing from an older copy of the service until its owner has had time to write it again.
+    fn defer_deletion<A: Adapter>(&self, shared: &Shared<A>, deletion: &Entry) {
+        let grace_period = match shared.adapter.parse_entry(deletion) {
+            StoreUpdate::Evacuation(..) => OPERATOR_RESTORE_GRACE_PERIOD,
+            _ => ENTRY_RESTORE_GRACE_PERIOD,
+        };
+        self.view.borrow_mut().defer_deletion(&deletion.key, shared.now() + grace_period);
+    }
+
+    /// Watches until the service has discarded changes after the revision `after`, or has been restored from an older copy.
+    async fn watch<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
         store: &S,
@@ -99,12 +130,15 @@
         after: &mut Revision,
     ) {
         let mut backoff = MIN_BACKOFF;
-        loop {
+        let era = self.view.borrow().era();
+        while store.era() == era {
             let watched = tokio::select! {
                 watched = store.watch("", *after, watch_timeout(shared)) => watched,
                 () = store_recovered.notified() => continue,
             };
+            count_call(shared, "watch", &watched);
             match watched {
+                Ok(listing) if listing.era != era => return,
                 Ok(listing) => {
                     backoff = MIN_BACKOFF;
                     *after = listing.revision.max(*after);
@@ -112,7 +146,7 @@
                     if changes < FULL_RESPONSE_CHANGES {
                         shared.store_outage.borrow_mut().record_success(shared.now(), *after);
                     }
-                    self.apply_all(shared, listing);
+                    self.apply_entries(shared, listing.entries);
                     if (1..FULL_RESPONSE_CHANGES).contains(&changes) {
                         sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
@@ -132,9 +166,9 @@
         }
     }
 
-    /// Applies all entries of a listing, then the number of daemons.
-    fn apply_all<A: Adapter>(&self, shared: &Shared<A>, listing: Listing) {
-        for entry in listing.entries {
+    /// Applies entries, then the number of daemons.
+    fn apply_entries<A: Adapter>(&self, shared: &Shared<A>, entries: Vec<Entry>) {
+        for entry in entries {
             self.apply(shared, entry);
         }
         let counts = shared.members.borrow().counts();
@@ -142,17 +176,23 @@
         shared.deliver_decisions();
     }
 
-    /// Applies an entry unless a newer revision of its key is known.
+    /// Applies an entry unless a newer revision of its key is known, or it comes from an older copy of the service and its key
+    /// was withdrawn.
     fn apply<A: Adapter>(&self, shared: &Shared<A>, entry: Entry) {
-        let known = self.revisions.borrow().get(&entry.key).copied();
-        if known.is_some_and(|known| entry.revision < known) {
+        let verdict = self.view.borrow_mut().record(shared.now(), &entry);
+        if verdict == Verdict::Outdated {
+            return;
+        }
+        let is_member = entry.key.starts_with(MEMBER_PREFIX);
+        if verdict != Verdict::Apply && !self.may_apply_copy(shared, &entry, verdict, is_member) {
+            slog::info!(shared.events.logger(), "entry of an older copy withheld"; "code" => 566,
+                "key" => &*entry.key, "revision" => entry.revision.0);
             return;
         }
-        match entry.value {
-            Some(_) => self.revisions.borrow_mut().insert(entry.key.clone(), entry.revision),
-            None => self.revisions.borrow_mut().remove(&entry.key),
-        };
         if let Some(name) = entry.key.strip_prefix(MEMBER_PREFIX) {
+            if entry.value.is_none() {
+                self.view.borrow_mut().record_withdrawal(shared.now(), &entry.key);
+            }
             let member = entry.value.as_deref().and_then(|text| serde_json::from_str(text).ok());
             self.apply_member(shared, name, entry.revision, member);
             return;
@@ -174,8 +214,11 @@
                     "revision" => entry.revision.0, "address" => %address, "leaving" => leaving,
                     "cold_ms" => cold.as_millis(), "in_force" => applied);
             }
-            StoreUpdate::Server(id, None) => self.server_deleted(shared, id, entry.revision),
+            StoreUpdate::Server(id, None) => self.server_deleted(shared, id, &entry),
             StoreUpdate::Evacuation(domain, active) => {
+                if !active {
+                    self.view.borrow_mut().record_withdrawal(shared.now(), &entry.key);
+                }
                 slog::info!(shared.events.logger(), "evacuation state of failure domain received"; "code" => 511,
                     "domain" => %domain, "revision" => entry.revision.0, "active" => active);
                 shared.steering.borrow_mut().set_evacuated(&domain, active, shared.now());
@@ -188,6 +231,32 @@
         }
     }
 
+    /// Whether an entry of an older copy of the service is applied. The entry of a server is compared with what is known of the
+    /// server. Another entry is applied unless its key was withdrawn.
+    fn may_apply_copy<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        entry: &Entry,
+        verdict: Verdict,
+        is_member: bool,
+    ) -> bool {
+        let is_withheld = verdict == Verdict::Withheld;
+        if is_member {
+            return !is_withheld;
+        }
+        let StoreUpdate::Server(_, Some(server)) = shared.adapter.parse_entry(entry) else {
+            return !is_withheld;
+        };
+        if !is_withheld {
+            return shared.steering.borrow().accepts_copy(&server);
+        }
+        let supersedes = shared.steering.borrow().supersedes_departure(&server);
+        if supersedes {
+            self.view.borrow_mut().accept(entry);
+        }
+        supersedes
+    }
+
     /// Applies the entry of another daemon and the crashes that it reports.
     fn apply_member<A: Adapter>(
         &self,
@@ -204,35 +273,41 @@
     }
 
     /// Removes a server whose entry was deleted. The removal is deferred if the entry may have expired because of an outage.
-    fn server_deleted<A: Adapter>(&self, shared: &Shared<A>, id: Backend, revision: Revision) {
-        let now = shared.now();
+    fn server_deleted<A: Adapter>(&self, shared: &Shared<A>, id: Backend, entry: &Entry) {
+        let (now, revision) = (shared.now(), entry.revision);
         let is_draining = shared.steering.borrow().server(&id).is_none_or(|s| s.entry.draining);
         let removal =
             if is_draining { now } else { shared.store_outage.borrow().removal_time(now, revision) };
         slog::info!(shared.events.logger(), "backend server gone"; "code" => 531, "backend" => %id,
             "revision" => revision.0, "doubted" => removal > now);
         if removal > now {
+            let removal = PendingRemoval { key: entry.key.clone(), at: removal };
             self.pending_removals.borrow_mut().entry(id).or_insert(removal);
             return;
         }
-        remove_server(shared, &id);
+        self.remove_server(shared, &id, &entry.key);
     }
 
-    /// Removes servers whose entries were not restored within the grace period after an outage.
+    /// Removes what was not restored within the grace period after an outage or a restoration of the service.
     pub fn apply_due_removals<A: Adapter>(&self, shared: &Shared<A>) {
         let now = shared.now();
-        let due: Vec<Backend> = self
-            .pending_removals
-            .borrow()
-            .iter()
-            .filter(|(_, at)| now >= **at)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            self.pending_removals.borrow_mut().remove(&id);
-            remove_server(shared, &id);
+        let deletions = self.view.borrow_mut().take_due_deletions(now);
+        if !deletions.is_empty() {
+            self.apply_entries(shared, deletions);
+        }
+        let due: Vec<_> =
+            self.pending_removals.borrow_mut().extract_if(.., |_, removal| now >= removal.at).collect();
+        for (id, removal) in due {
+            self.remove_server(shared, &id, &removal.key);
         }
     }
+
+    /// Removes a server, and closes the idle connections to it.
+    fn remove_server<A: Adapter>(&self, shared: &Shared<A>, id: &Backend, key: &str) {
+        self.view.borrow_mut().record_withdrawal(shared.now(), key);
+        shared.steering.borrow_mut().remove_server(id, shared.now());
+        shared.pool.borrow_mut().close(id);
+    }
 }
 
 /// Timeout of the next watch. Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change
@@ -250,8 +325,21 @@
     log_store_failure(shared, e);
 }
 
-/// Removes a server, and closes the idle connections to it.
-fn remove_server<A: Adapter>(shared: &Shared<A>, id: &Backend) {
-    shared.steering.borrow_mut().remove_server(id, shared.now());
-    shared.pool.borrow_mut().close(id);
+/// Records that the service was restored from an older copy, and lets the own entry be written again.
+fn record_restoration<A: Adapter>(shared: &Shared<A>, listing: &Listing) {
+    shared.store_outage.borrow_mut().record_restoration(shared.now(), listing.revision);
+    shared.metrics.store_eras.with_label_values(&["later"]).inc();
+    slog::warn!(shared.events.logger(), "key-value service was restored"; "code" => 564,
+        "era" => listing.era.0, "revision" => listing.revision.0);
+    shared.store_restored.notify_waiters();
+}
+
+/// Counts a listing or watch by its result.
+fn count_call<A: Adapter>(shared: &Shared<A>, kind: &str, result: &Result<Listing, StoreError>) {
+    let result = match result {
+        Ok(listing) if listing.entries.is_empty() => "unchanged",
+        Ok(_) => "changes",
+        Err(_) => "failed",
+    };
+    shared.metrics.store_calls.with_label_values(&[kind, result]).inc();
 }
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -163,6 +163,25 @@
 )]
 pub struct Revision(pub u64);
 
+/// Number of restorations of the key-value service from an older copy. Revisions are comparable only within an era.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    From,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+pub struct Era(pub u64);
+
 /// Number that a daemon assigns to a request which it handles.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
--- a/crates/state/src/steering/departures.rs
+++ b/crates/state/src/steering/departures.rs
@@ -82,6 +82,11 @@
         self.departures.get(&entry.id).is_some_and(|d| is_late_write(now, entry, &d.version, d.at))
     }
 
+    /// Returns whether the entry of a server without a current entry was certainly written after the last one.
+    pub fn is_superseded_by(&self, entry: &BackendEntry) -> bool {
+        self.departures.get(&entry.id).is_some_and(|d| d.version.is_before(&entry.version))
+    }
+
     /// Returns whether the process of the server that wrote the entry had announced that it leaves.
     pub fn had_announced(&self, entry: &BackendEntry) -> bool {
         self.departures.get(&entry.id).is_some_and(|d| d.leaving && d.version.is_same_process(&entry.version))
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -251,6 +251,22 @@
         true
     }
 
+    /// Whether the entry of a server that was withdrawn has certainly been written after the withdrawal.
+    pub fn supersedes_departure(&self, entry: &BackendEntry) -> bool {
+        self.departures.is_superseded_by(entry)
+    }
+
+    /// Whether an entry in an older copy of the key-value service may be applied: it is not older than the known entry of its
+    /// server, and ends the departure of a server only if it is newer.
+    pub fn accepts_copy(&self, entry: &BackendEntry) -> bool {
+        let Some(known) = self.fleet.get(&entry.id) else {
+            return true;
+        };
+        let version = &known.entry.version;
+        let ends_departure = (known.entry.draining || known.is_leaving()) && !entry.draining;
+        if ends_departure { version.is_before(&entry.version) } else { !entry.version.is_before(version) }
+    }
+
     /// Records that a server announced in a response that it leaves. It receives no further requests until it restarts.
     /// Returns whether that was not known.
     pub fn mark_leaving(&mut self, id: &Backend) -> bool {
--- a/crates/transport/src/kv.rs
+++ b/crates/transport/src/kv.rs
@@ -14,7 +14,7 @@
 use derive_more::{Display, Error};
 use medlarstair_protocol::border::{KvEntry, KvList, KvWritten};
 use medlarstair_state::config::Entry;
-use medlarstair_state::id::Revision;
+use medlarstair_state::id::{Era, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Timeout of a call, in addition to the timeout of a watch.
@@ -28,13 +28,20 @@
 #[display("the key-value service is unavailable: {cause}")]
 pub struct StoreError {
     cause: Box<str>,
-    history_lost: bool,
+    kind: FailureKind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FailureKind {
+    Unavailable,
+    HistoryLost,
+    EarlierEra,
 }
 
 impl StoreError {
     /// Creates an error with the given cause.
     pub fn new(cause: impl ToString) -> Self {
-        Self { cause: cause.to_string().into(), history_lost: false }
+        Self { cause: cause.to_string().into(), kind: FailureKind::Unavailable }
     }
 
     /// Creates the error of a watch whose start revision is no longer in the service's history. The caller must list
@@ -42,13 +49,31 @@
     pub fn history_lost() -> Self {
         Self {
             cause: "the service no longer keeps the changes since the revision".into(),
-            history_lost: true,
+            kind: FailureKind::HistoryLost,
         }
     }
 
+    /// Creates the error of a response from before a restoration of the service of which a response is known.
+    ///
+    /// ```
+    /// use medlarstair_state::id::Era;
+    /// use medlarstair_transport::kv::StoreError;
+    /// let e = StoreError::earlier_era(Era(2), Era(3));
+    /// assert!(e.is_earlier_era() && !e.is_history_lost());
+    /// ```
+    pub fn earlier_era(era: Era, known: Era) -> Self {
+        let cause = format!("the response is of era {era}, before the known era {known}");
+        Self { cause: cause.into(), kind: FailureKind::EarlierEra }
+    }
+
     /// Returns whether this is the error of [`history_lost`](Self::history_lost).
     pub fn is_history_lost(&self) -> bool {
-        self.history_lost
+        self.kind == FailureKind::HistoryLost
+    }
+
+    /// Returns whether this is an error of [`earlier_era`](Self::earlier_era).
+    pub fn is_earlier_era(&self) -> bool {
+        self.kind == FailureKind::EarlierEra
     }
 }
 
@@ -85,6 +110,8 @@
 pub struct Listing {
     /// Revision of the service at which the listing was taken.
     pub revision: Revision,
+    /// Era of the service. Zero if the service does not report one.
+    pub era: Era,
     /// Entries with the prefix; a deleted key has no value.
     pub entries: Vec<Entry>,
 }
@@ -123,6 +150,8 @@
 
 /// A key-value service whose leases can be renewed and revoked.
 pub trait RenewableLeaseStore: Store {
+    /// The highest era of the responses so far. Zero if the service does not report one.
+    fn era(&self) -> Era;
     /// Renews a lease. `false` if it has expired or was revoked.
     fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<bool, StoreError>>;
     /// Revokes a lease, which deletes its keys.
@@ -175,6 +204,7 @@
         let list = res.json::<KvList>().limit(RESPONSE_MAX_BYTES).await.map_err(store_error)?;
         Ok(Listing {
             revision: Revision(list.revision),
+            era: Era::default(),
             entries: list.entries.into_iter().map(from_api_entry).collect(),
         })
     }
