--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,10 @@
     pub account_rejections: IntCounterVec,
     /// Faults in the client accounts of the configuration versions that came into effect, by kind.
     pub account_faults: IntCounterVec,
+    /// Calls to the key-value service, by kind and result.
+    pub store_calls: IntCounterVec,
+    /// Changes of the era of the key-value service, by direction. Responses of an earlier era are ignored.
+    pub store_eras: IntCounterVec,
 }
 
 impl Metrics {
@@ -49,6 +53,10 @@
             counter("medlarstair_account_rejections_total", "Requests rejected by account", &["reason"])?;
         let account_faults =
             counter("medlarstair_account_faults_total", "Faulty client accounts", &["kind"])?;
+        let store_calls =
+            counter("medlarstair_store_calls_total", "Calls to the key-value service", &["kind", "result"])?;
+        let store_eras =
+            counter("medlarstair_store_eras_total", "Changes of the era of the service", &["direction"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
@@ -62,6 +70,8 @@
             notices,
             account_rejections,
             account_faults,
+            store_calls,
+            store_eras,
         })
     }
 
