Let one daemon of a failure domain watch the key-value service for the others

Cause: each daemon holds a watch of its own and renews its lease every 0.9 s, so the calls to the service, which are billed, grow with both. A lease of 3 s also ends when two renewals get no response (3.3 s).

Change: with the new setting [listen] peers, one daemon of each failure domain is the relay. It announces changes with their revisions to the others, and to the relays of its region's other failure domains, in datagrams. A daemon applies what follows on its own revision, fetches what it lacks, and watches by itself when it hears nothing for 1.2 s. It renews every 2.7 s while it follows a relay, under a lease of 6 s. Without the setting only the lease differs (4.5 s). The decisions are in store_relay without I/O.

A change is in force on all daemons after 2 s when the relay is killed, stalls or gets no response or 429 from the service, when the response to its watch is lost, and when a follower gets no response.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -41,6 +41,8 @@
     pub directory_address: Option<SocketAddr>,
     /// Listening address for metrics. `None` if they are not served.
     pub metrics_address: Option<SocketAddr>,
+    /// Listening address for datagrams of other daemons. `None` if this daemon exchanges none.
+    pub peer_address: Option<SocketAddr>,
     /// Requests per second that the daemon's VM can forward, estimated from its CPU share and link speed. A default if these
     /// are not set.
     pub capacity: Capacity,
@@ -144,6 +146,7 @@
     let ready = r.required("listen", "ready");
     let directory = r.optional("listen", "directory");
     let metrics = r.optional("listen", "metrics");
+    let peers = r.optional("listen", "peers");
     let capacity = read_capacity(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
@@ -170,6 +173,7 @@
         readiness_address: ready?,
         directory_address: directory,
         metrics_address: metrics,
+        peer_address: peers,
         capacity,
         store_address: store?,
         grace_period: grace?.0,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
 use crate::notices;
+use crate::peers::PeerSocket;
 use crate::probe;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
@@ -60,6 +61,7 @@
     fn handle(&mut self, TimerFired: TimerFired, _: &mut Self::Context) {
         let now = self.shared.now();
         self.watcher.apply_due_removals(&self.shared);
+        self.watcher.announce_if_due(&self.shared);
         notices::end_pauses(&self.shared);
         self.shared.steering.borrow_mut().tick(now);
         self.shared.pool.borrow_mut().expire(now);
@@ -87,8 +89,12 @@
     let shared = Shared::new(cfg, adapter, metrics, events);
     listen(&shared).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %shared.cfg.client_address);
+    let peers = match shared.cfg.peer_address {
+        Some(address) => Some(PeerSocket::bind(address).await?),
+        None => None,
+    };
     let (store, store_recovered, watcher) =
-        (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::default()));
+        (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::new(peers)));
     let registration = actix_rt::spawn(maintain_registration(
         Rc::clone(&shared),
         Rc::clone(&store),
@@ -98,6 +104,10 @@
         let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
         actix_rt::spawn(async move { watcher.run(shared, store, store_recovered).await });
     }
+    {
+        let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
+        actix_rt::spawn(async move { watcher.follow_relay(&shared).await });
+    }
     Housekeeper { shared: Rc::clone(&shared), watcher }.start();
     actix_rt::spawn(reload_on_hangup(Rc::clone(&shared), path, signal(SignalKind::hangup())?));
     signal(SignalKind::terminate())?.recv().await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,10 +18,12 @@
 pub mod membership;
 pub mod metrics;
 pub mod notices;
+pub mod peers;
 pub mod pool;
 pub mod probe;
 pub mod shared;
 pub mod store_outage;
+pub mod store_relay;
 pub mod store_view;
 pub mod store_watcher;
 
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,7 +3,7 @@
 //! Each daemon keeps an entry in the key-value service under a lease, so that the service deletes the entry if the daemon
 //! fails.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,17 +21,24 @@
 use crate::config::Config;
 use crate::eventlog::log_store_failure;
 use crate::shared::{Phase, Shared};
+use crate::store_relay::choose_relay;
 
 /// Prefix of the keys of daemons. The name of the daemon follows.
 pub const MEMBER_PREFIX: &str = "medlarstair/daemon/";
 
 /// TTL of the lease under which a daemon keeps its entry. The service deletes the entry when the TTL has passed since the
-/// last renewal.
-const LEASE_TTL: Duration = Duration::from_millis(3_000);
+/// last renewal. Two renewals may time out before one succeeds.
+const LEASE_TTL: Duration = Duration::from_millis(4_500);
 
-/// Interval between renewals of the lease, short enough that two of them may be lost.
+/// TTL of the lease if the daemons exchange messages, so that most of them renew it rarely.
+const RELAYED_LEASE_TTL: Duration = Duration::from_millis(6_000);
+
+/// Interval between renewals of the lease. They also show whether the service responds.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
 
+/// Interval between renewals of a daemon whose relay announces that the service responds.
+const FOLLOWER_RENEWAL_PERIOD: Duration = Duration::from_millis(2_700);
+
 /// Interval before a failed renewal is repeated. It bounds how late the end of an outage is noticed.
 const RENEWAL_RETRY_PERIOD: Duration = Duration::from_millis(300);
 
@@ -59,6 +66,9 @@
     /// Requests per second that the daemon can forward. Absent means a default.
     #[serde(default)]
     pub capacity: Capacity,
+    /// Address for datagrams of other daemons. Absent if the daemon exchanges none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
     /// Requests during which a backend server crashed, as this daemon observed. Absent means none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
@@ -80,6 +90,7 @@
             region: cfg.region.clone(),
             domain: cfg.domain.clone(),
             capacity: cfg.capacity,
+            peers: cfg.peer_address,
             crashes: Vec::new(),
         };
         Self { local_name: cfg.name.clone(), local, others: BTreeMap::new() }
@@ -98,6 +109,48 @@
         }
     }
 
+    /// Whether this daemon watches the key-value service for its failure domain, or exchanges no messages.
+    pub fn is_relay(&self) -> bool {
+        self.local.peers.is_none() || self.relay_of(&self.local.domain) == Some(&*self.local_name)
+    }
+
+    /// Name of the daemon that watches the key-value service for a failure domain. `None` if no daemon there exchanges
+    /// messages.
+    fn relay_of(&self, domain: &Domain) -> Option<&str> {
+        let in_domain = self.all().filter(|(_, m)| m.domain == *domain && m.peers.is_some());
+        choose_relay(in_domain.map(|(name, _)| name))
+    }
+
+    /// All daemons with their names.
+    fn all(&self) -> impl Iterator<Item = (&str, &Member)> {
+        let others = self.others.iter().map(|(name, member)| (&**name, member));
+        others.chain([(&*self.local_name, &self.local)])
+    }
+
+    /// Addresses to which this daemon announces changes if it is a relay: those of its failure domain, and the relays of the
+    /// other failure domains of the region.
+    pub fn followers(&self) -> Vec<SocketAddr> {
+        let domains: BTreeSet<&Domain> =
+            self.others.values().filter(|m| m.region == self.local.region).map(|m| &m.domain).collect();
+        let relays: Vec<&str> = domains.iter().filter_map(|domain| self.relay_of(domain)).collect();
+        let receives = |name: &str, member: &Member| {
+            member.domain == self.local.domain
+                || (member.region == self.local.region && relays.contains(&name))
+        };
+        self.others.iter().filter(|(name, m)| receives(name, m)).filter_map(|(_, m)| m.peers).collect()
+    }
+
+    /// Failure domain of the daemon of this region with a given address for datagrams. `None` if there is none.
+    pub fn domain_of_peer(&self, address: SocketAddr) -> Option<&Domain> {
+        let in_region = self.others.values().find(|m| m.peers == Some(address));
+        in_region.filter(|m| m.region == self.local.region).map(|m| &m.domain)
+    }
+
+    /// Failure domain of this daemon.
+    pub fn domain(&self) -> &Domain {
+        &self.local.domain
+    }
+
     /// Counts the daemons, this one included: all of them, and those that share the load of this daemon's region.
     pub fn counts(&self) -> DaemonCounts {
         let in_region = self.others.values().filter(|m| m.region == self.local.region);
@@ -171,9 +224,8 @@
             slog::warn!(shared.events.logger(), "key-value service does not answer"; "code" => 560);
         }
         failing = !renewed;
-        let period = if renewed { RENEWAL_PERIOD } else { RENEWAL_RETRY_PERIOD };
         tokio::select! {
-            () = sleep(period) => {}
+            () = wait_for_renewal(&shared, registration.as_ref(), renewed) => {}
             () = shutdown_started => {}
             () = store_restored => {}
         }
@@ -186,6 +238,26 @@
     }
 }
 
+/// Waits until the next renewal is due. A daemon whose relay announces that the service responds renews rarely, unless it has a
+/// crash to report.
+async fn wait_for_renewal<A: Adapter>(
+    shared: &Shared<A>,
+    registration: Option<&Registration>,
+    renewed: bool,
+) {
+    if !renewed {
+        return sleep(RENEWAL_RETRY_PERIOD).await;
+    }
+    let mut waited = Duration::ZERO;
+    while waited < FOLLOWER_RENEWAL_PERIOD {
+        sleep(RENEWAL_PERIOD).await;
+        waited += RENEWAL_PERIOD;
+        if !shared.follows_relay() || registration.is_none_or(|r| r.lacks_crash(shared)) {
+            return;
+        }
+    }
+}
+
 /// The entry of this daemon as it was last written.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -195,6 +267,14 @@
     crashes: Vec<Crash>,
 }
 
+impl Registration {
+    /// Whether a crash is to be reported that the entry lacks.
+    fn lacks_crash<A: Adapter>(&self, shared: &Shared<A>) -> bool {
+        let crashes = shared.steering.borrow().recent_crashes(shared.now());
+        crashes.iter().any(|crash| !self.crashes.contains(crash))
+    }
+}
+
 /// Renews the lease, or creates a lease and the entry if there is none. The entry is rewritten if it lacks a crash that is
 /// to be reported.
 async fn renew<A: Adapter, S: RenewableLeaseStore>(
@@ -207,7 +287,7 @@
         && renew_lease(shared, store, registration.lease).await?
         && registration.era == store.era()
     {
-        if crashes.iter().all(|crash| registration.crashes.contains(crash)) {
+        if !registration.lacks_crash(shared) {
             return Ok(registration.clone());
         }
         let written =
@@ -221,7 +301,8 @@
         log_store_failure(shared, &cause);
         return Ok(registration.clone());
     }
-    let granted = store.grant_lease(LEASE_TTL).await;
+    let ttl = if shared.cfg.peer_address.is_some() { RELAYED_LEASE_TTL } else { LEASE_TTL };
+    let granted = store.grant_lease(ttl).await;
     count_call(shared, "grant", granted.is_ok());
     write_registration(shared, store, granted?, crashes).await
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::store_outage::StoreOutage;
+use crate::store_relay::StoreRelay;
 
 /// Phase in the lifetime of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     pub pool: RefCell<Pool>,
     /// Outages of the key-value service that this daemon has observed.
     pub store_outage: RefCell<StoreOutage>,
+    /// Announcements of the daemon that watches the key-value service for this one.
+    pub store_relay: RefCell<StoreRelay>,
     /// Metrics that the daemon exports.
     pub metrics: Metrics,
     /// Rate-limited event log.
@@ -75,6 +78,7 @@
             members: RefCell::new(Members::new(&cfg)),
             pool: RefCell::new(Pool::default()),
             store_outage: RefCell::default(),
+            store_relay: RefCell::default(),
             metrics,
             events,
             shutdown_started: Notify::new(),
@@ -113,6 +117,17 @@
         self.phase() == Phase::Serving && self.steering.borrow().plan().is_some()
     }
 
+    /// Whether another daemon may watch the key-value service for this one: it is the relay, and no call of this daemon has
+    /// failed since the last response.
+    pub fn may_follow_relay(&self) -> bool {
+        !self.members.borrow().is_relay() && !self.store_outage.borrow().is_ongoing()
+    }
+
+    /// Whether another daemon watches the key-value service for this one, and has been heard recently.
+    pub fn follows_relay(&self) -> bool {
+        self.may_follow_relay() && self.store_relay.borrow().is_heard(self.now())
+    }
+
     /// Number of open client connections.
     pub fn open_connections(&self) -> usize {
         self.open_connections.get()
--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -63,13 +63,19 @@
         }
     }
 
-    /// Records a response that does not tell the revision of the service. It does not end an outage.
-    pub fn record_response(&mut self, now: Timestamp) {
+    /// Records a response at the time `at` that does not tell the revision of the service, to this daemon or to its relay. It
+    /// does not end an outage.
+    pub fn record_response(&mut self, at: Timestamp) {
         if !self.is_ongoing() {
-            self.last_response = now;
+            self.last_response = self.last_response.max(at);
         }
     }
 
+    /// Time of the last response before any failure.
+    pub fn last_response(&self) -> Timestamp {
+        self.last_response
+    }
+
     /// Records a response with all changes up to `revision`, which ends an outage.
     pub fn record_success(&mut self, now: Timestamp, revision: Revision) {
         self.last_response = now;
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -3,8 +3,9 @@
 //! A single listing followed by a single watch covers all keys. An older revision of a key never replaces a newer one. After a
 //! restoration of the service from an older copy, [`StoreView`] decides what of the copy is applied.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,8 +19,10 @@
 use crate::adapter::{Adapter, StoreUpdate};
 use crate::eventlog::log_store_failure;
 use crate::membership::{MEMBER_PREFIX, Member};
+use crate::peers::{MAX_DATAGRAM_BYTES, PeerMessage, PeerSocket, log_ignored};
 use crate::shared::Shared;
 use crate::store_outage::ENTRY_RESTORE_GRACE_PERIOD;
+use crate::store_relay::{ANNOUNCEMENT_PERIOD, Announcement, Position, Reaction, Source, split};
 use crate::store_view::{StoreView, Verdict};
 
 /// Minimum timeout of a watch. Each watch counts as a billed call.
@@ -33,6 +36,9 @@
 /// without delay: after an outage, a delay after each of many full responses would add up to several seconds.
 const FULL_RESPONSE_CHANGES: usize = 256;
 
+/// Maximum size of the changes in one announcement in bytes. The rest of the datagram holds positions and lengths.
+const MAX_CHANGES_BYTES: usize = MAX_DATAGRAM_BYTES - 100;
+
 /// Backoff after the first failed call. It doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -56,9 +62,21 @@
     view: RefCell<StoreView>,
     /// Servers whose entries were deleted during an outage, until they are removed or restored.
     pending_removals: RefCell<BTreeMap<Backend, PendingRemoval>>,
+    /// Position up to which all changes have been applied.
+    applied: Cell<Position>,
+    /// Socket for announcements. `None` if this daemon exchanges no messages.
+    peers: Option<PeerSocket>,
+    /// Notified when an announcement tells of changes that must be fetched.
+    fetch_needed: Notify,
+    announced_at: Cell<Timestamp>,
 }
 
 impl StoreWatcher {
+    /// Creates a watcher that knows no entries. It exchanges announcements with other daemons if there is a socket.
+    pub fn new(peers: Option<PeerSocket>) -> Self {
+        Self { peers, ..Self::default() }
+    }
+
     /// Follows the service until the daemon exits. `store_recovered` is notified when the service responds again after an
     /// outage, so that a hanging watch is restarted.
     pub async fn run<A: Adapter, S: RenewableLeaseStore>(
@@ -70,9 +88,9 @@
         let mut backoff = MIN_BACKOFF;
         loop {
             match self.list_all(&shared, &*store).await {
-                Ok(mut after) => {
+                Ok(()) => {
                     backoff = MIN_BACKOFF;
-                    self.watch(&shared, &*store, &store_recovered, &mut after).await;
+                    self.watch(&shared, &*store, &store_recovered).await;
                 }
                 Err(e) => {
                     record_failure(&shared, &e);
@@ -83,13 +101,15 @@
         }
     }
 
-    /// Lists and applies all entries, and treats known keys that are missing as deleted, after a restoration with a delay.
-    /// Returns the revision of the listing.
+    /// Lists and applies all entries, and treats known keys that are missing as deleted, after a restoration with a
+    /// delay.
     async fn list_all<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
         store: &S,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<(), StoreError> {
+        // An announced change that is newer than the listing would count as deleted by it.
+        self.applied.set(Position::default());
         let listed = store.list("").await;
         count_call(shared, "list", &listed);
         let listing = listed?;
@@ -109,7 +129,8 @@
             }
         }
         self.apply_entries(shared, listing.entries);
-        Ok(revision)
+        self.applied.set(Position { era: listing.era, revision });
+        Ok(())
     }
 
     /// Keeps an entry that is missing from an older copy of the service until its owner has had time to write it again.
@@ -127,13 +148,16 @@
         shared: &Shared<A>,
         store: &S,
         store_recovered: &Notify,
-        after: &mut Revision,
     ) {
         let mut backoff = MIN_BACKOFF;
         let era = self.view.borrow().era();
         while store.era() == era {
+            let after = self.applied.get().revision;
+            let source = self.source(shared);
             let watched = tokio::select! {
-                watched = store.watch("", *after, watch_timeout(shared)) => watched,
+                () = wait_until(shared, source) => continue,
+                watched = store.watch("", after, watch_timeout(shared, source)), if !is_wait(source) => watched,
+                () = self.fetch_needed.notified() => continue,
                 () = store_recovered.notified() => continue,
             };
             count_call(shared, "watch", &watched);
@@ -141,12 +165,14 @@
                 Ok(listing) if listing.era != era => return,
                 Ok(listing) => {
                     backoff = MIN_BACKOFF;
-                    *after = listing.revision.max(*after);
                     let changes = listing.entries.len();
                     if changes < FULL_RESPONSE_CHANGES {
-                        shared.store_outage.borrow_mut().record_success(shared.now(), *after);
+                        shared
+                            .store_outage
+                            .borrow_mut()
+                            .record_success(shared.now(), listing.revision.max(after));
                     }
-                    self.apply_entries(shared, listing.entries);
+                    self.apply_watched(shared, after, listing);
                     if (1..FULL_RESPONSE_CHANGES).contains(&changes) {
                         sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
@@ -166,6 +192,119 @@
         }
     }
 
+    /// Chooses how this daemon gets the next change.
+    fn source<A: Adapter>(&self, shared: &Shared<A>) -> Source {
+        let may_follow = shared.may_follow_relay();
+        shared.store_relay.borrow().source(shared.now(), may_follow, self.applied.get())
+    }
+
+    /// Applies the response to a watch after the revision `after`, and announces its changes.
+    fn apply_watched<A: Adapter>(&self, shared: &Shared<A>, after: Revision, listing: Listing) {
+        let watched = Position { era: listing.era, revision: listing.revision };
+        let known = self.applied.get();
+        let applied = known.max(watched);
+        self.applied.set(applied);
+        shared.store_relay.borrow_mut().record_fetched(applied);
+        let changes = newer_than(known, listing.entries);
+        if !changes.is_empty() {
+            self.announce_changes(shared, after, watched, &changes);
+        }
+        self.apply_entries(shared, changes);
+    }
+
+    /// Receives the announcements of relays until the daemon exits.
+    pub async fn follow_relay<A: Adapter>(&self, shared: &Shared<A>) {
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        loop {
+            match peers.receive(shared).await {
+                Ok((from, PeerMessage::Store(announcement))) => {
+                    self.on_announcement(shared, from, announcement)
+                }
+                Err(e) => {
+                    slog::warn!(shared.events.logger(), "messages of other daemons cannot be received";
+                        "code" => 569, "cause" => %e);
+                    sleep(MAX_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    fn on_announcement<A: Adapter>(&self, shared: &Shared<A>, from: SocketAddr, announcement: Announcement) {
+        let members = shared.members.borrow();
+        let Some(domain) = members.domain_of_peer(from) else {
+            return log_ignored(shared, from, "no daemon of the region is listed with the address");
+        };
+        let own_domain = domain == members.domain();
+        drop(members);
+        let now = shared.now();
+        let reaction =
+            shared.store_relay.borrow_mut().receive(now, own_domain, &announcement, self.applied.get());
+        if own_domain {
+            let age = Duration::from_millis(announcement.response_age_ms.into());
+            shared.store_outage.borrow_mut().record_response(now - age);
+        }
+        match reaction {
+            Reaction::Apply => {
+                let known = self.applied.replace(announcement.position);
+                let changes = newer_than(known, announcement.changes);
+                self.announce_changes(shared, known.revision, announcement.position, &changes);
+                self.apply_entries(shared, changes);
+            }
+            Reaction::Fetch => self.fetch_needed.notify_waiters(),
+            Reaction::Ignore => {}
+        }
+    }
+
+    /// Announces the newest known position to the followers if this daemon is a relay and has announced nothing for some time.
+    pub fn announce_if_due<A: Adapter>(&self, shared: &Shared<A>) {
+        let now = shared.now();
+        if now.since(self.announced_at.get()) < ANNOUNCEMENT_PERIOD {
+            return;
+        }
+        self.announced_at.set(now);
+        let position = shared.store_relay.borrow().newest(self.applied.get());
+        let idle =
+            Announcement { position, after: position.revision, changes: Vec::new(), response_age_ms: 0 };
+        self.announce(shared, vec![idle]);
+    }
+
+    /// Announces the changes after the revision `after` up to `end` if this daemon is a relay.
+    fn announce_changes<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        after: Revision,
+        end: Position,
+        changes: &[Entry],
+    ) {
+        if self.peers.is_some() {
+            self.announce(shared, split(after, end, changes.to_vec(), MAX_CHANGES_BYTES));
+        }
+    }
+
+    /// Sends announcements to the followers if this daemon is a relay that is served by the service.
+    fn announce<A: Adapter>(&self, shared: &Shared<A>, announcements: Vec<Announcement>) {
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        if self.applied.get() == Position::default()
+            || !shared.members.borrow().is_relay()
+            || shared.store_outage.borrow().is_ongoing()
+        {
+            return;
+        }
+        let now = shared.now();
+        self.announced_at.set(now);
+        let age = now.since(shared.store_outage.borrow().last_response()).as_millis();
+        let response_age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        let followers = shared.members.borrow().followers();
+        for announcement in announcements {
+            let message = PeerMessage::Store(Announcement { response_age_ms, ..announcement });
+            peers.send(shared, &followers, &message);
+        }
+    }
+
     /// Applies entries, then the number of daemons.
     fn apply_entries<A: Adapter>(&self, shared: &Shared<A>, entries: Vec<Entry>) {
         for entry in entries {
@@ -312,13 +451,31 @@
 
 /// Timeout of the next watch. Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change
 /// may take. After a failure it returns at once, so that its revision tells the changes of the outage from later ones.
-fn watch_timeout<A: Adapter>(shared: &Shared<A>) -> Duration {
-    if shared.store_outage.borrow().is_ongoing() {
+fn watch_timeout<A: Adapter>(shared: &Shared<A>, source: Source) -> Duration {
+    if source == Source::Fetch || shared.store_outage.borrow().is_ongoing() {
         return Duration::ZERO;
     }
     shared.cfg.max_change_delay.max(MIN_WATCH_TIMEOUT)
 }
 
+/// Keeps the changes that are newer than the known position. An older one may have been undone since.
+fn newer_than(known: Position, mut changes: Vec<Entry>) -> Vec<Entry> {
+    changes.retain(|entry| entry.revision > known.revision);
+    changes
+}
+
+fn is_wait(source: Source) -> bool {
+    matches!(source, Source::Wait(_))
+}
+
+/// Waits until the end of [`Source::Wait`]. Never returns for the other sources.
+async fn wait_until<A: Adapter>(shared: &Shared<A>, source: Source) {
+    match source {
+        Source::Wait(until) => sleep(until.since(shared.now())).await,
+        Source::Watch | Source::Fetch => std::future::pending().await,
+    }
+}
+
 /// Records and logs the failure of a call.
 fn record_failure<A: Adapter>(shared: &Shared<A>, e: &StoreError) {
     shared.store_outage.borrow_mut().record_failure();
