Tell followers of outages that their relay has observed

Cause: a daemon that follows a relay renews its lease every 2.7 s, so it may miss an outage in which entries expire. It would then remove running servers at once when the relay announces the deletions.

Change: for 2.2 s after an outage each announcement contains its end, its duration and the revision at its end. A daemon that has observed none adopts it.

The outage as a whole was not played with processes.

--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -8,6 +8,7 @@
 
 use medlarstair_state::id::Revision;
 use medlarstair_state::time::Timestamp;
+use serde::{Deserialize, Serialize};
 
 /// Duration of an outage below which no entry expires, because the service waits for several missed renewals. A call that was
 /// cut off and repeated is thus no outage.
@@ -31,6 +32,17 @@
     Recovered { at: Timestamp, revision: Revision, lasted: Duration },
 }
 
+/// An outage that has ended recently, as one daemon reports it to others. Times are relative, since clocks differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutageReport {
+    /// Time since the end of the outage.
+    pub ended_ago: Duration,
+    /// Duration of the outage.
+    pub lasted: Duration,
+    /// Revision of the service at the end of the outage.
+    pub revision: Revision,
+}
+
 /// The current or last outage of the key-value service.
 ///
 /// ```
@@ -91,6 +103,25 @@
         self.state = State::Recovered { at: now, revision, lasted: MIN_OUTAGE };
     }
 
+    /// The last outage, if entries that expired in it may still be restored.
+    pub fn recent(&self, now: Timestamp) -> Option<OutageReport> {
+        let State::Recovered { at, revision, lasted } = self.state else {
+            return None;
+        };
+        let ended_ago = now.since(at);
+        let is_recent = lasted >= MIN_OUTAGE && ended_ago < ENTRY_RESTORE_GRACE_PERIOD;
+        is_recent.then_some(OutageReport { ended_ago, lasted, revision })
+    }
+
+    /// Records an outage that another daemon has observed, unless this one observes or has observed one itself.
+    pub fn record_report(&mut self, now: Timestamp, report: OutageReport) {
+        if self.is_ongoing() || self.recent(now).is_some() {
+            return;
+        }
+        let OutageReport { ended_ago, lasted, revision } = report;
+        self.state = State::Recovered { at: now - ended_ago, revision, lasted };
+    }
+
     /// Whether calls have failed without a complete response since.
     pub fn is_ongoing(&self) -> bool {
         matches!(self.state, State::Unavailable { .. })
--- a/crates/gateway/src/store_relay.rs
+++ b/crates/gateway/src/store_relay.rs
@@ -12,6 +12,8 @@
 use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 
+use crate::store_outage::OutageReport;
+
 /// Interval between announcements of a relay that has received no change.
 pub const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -39,6 +41,8 @@
     pub changes: Vec<Entry>,
     /// Time since the relay's last response from the service, in milliseconds.
     pub response_age_ms: u32,
+    /// Outage of the service that the relay has observed and that ended recently.
+    pub outage: Option<OutageReport>,
 }
 
 /// How a daemon gets the next change.
@@ -73,7 +77,7 @@
 /// let at = |revision| Position { era: Era(1), revision: Revision(revision) };
 /// let mut relay = StoreRelay::default();
 /// assert_eq!(relay.source(now, true, at(5)), Source::Watch);
-/// let idle = Announcement { position: at(5), after: Revision(5), changes: vec![], response_age_ms: 0 };
+/// let idle = Announcement { position: at(5), after: Revision(5), changes: vec![], response_age_ms: 0, outage: None };
 /// assert_eq!(relay.receive(now, true, &idle, at(5)), Reaction::Ignore);
 /// assert!(matches!(relay.source(now, true, at(5)), Source::Wait(_)));
 /// let missed = Announcement { position: at(7), after: Revision(7), ..idle };
@@ -176,7 +180,8 @@
 pub fn split(after: Revision, end: Position, mut changes: Vec<Entry>, max_bytes: usize) -> Vec<Announcement> {
     changes.sort_by_key(|entry| entry.revision);
     let mut parts = Vec::new();
-    let mut part = Announcement { position: end, after, changes: Vec::new(), response_age_ms: 0 };
+    let mut part =
+        Announcement { position: end, after, changes: Vec::new(), response_age_ms: 0, outage: None };
     let mut bytes = 0;
     for entry in changes {
         let size = encoded_size(&entry);
@@ -186,7 +191,13 @@
         }
         let last = part.changes.last().map(|e| e.revision);
         if let Some(last) = last.filter(|last| bytes + size > max_bytes && *last < entry.revision) {
-            let next = Announcement { position: end, after: last, changes: Vec::new(), response_age_ms: 0 };
+            let next = Announcement {
+                position: end,
+                after: last,
+                changes: Vec::new(),
+                response_age_ms: 0,
+                outage: None,
+            };
             finish_part(&mut parts, std::mem::replace(&mut part, next));
             bytes = 0;
         }
@@ -208,7 +219,7 @@
 /// Appends an announcement without changes, so that the others fetch what is missing.
 fn finish_with_gap(mut parts: Vec<Announcement>, end: Position) -> Vec<Announcement> {
     let (after, changes) = (end.revision, Vec::new());
-    parts.push(Announcement { position: end, after, changes, response_age_ms: 0 });
+    parts.push(Announcement { position: end, after, changes, response_age_ms: 0, outage: None });
     parts
 }
 
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -242,8 +242,7 @@
         let reaction =
             shared.store_relay.borrow_mut().receive(now, own_domain, &announcement, self.applied.get());
         if own_domain {
-            let age = Duration::from_millis(announcement.response_age_ms.into());
-            shared.store_outage.borrow_mut().record_response(now - age);
+            self.record_relayed_response(shared, &announcement);
         }
         match reaction {
             Reaction::Apply => {
@@ -257,6 +256,19 @@
         }
     }
 
+    /// Records what an announcement tells of the availability of the service.
+    fn record_relayed_response<A: Adapter>(&self, shared: &Shared<A>, announcement: &Announcement) {
+        let now = shared.now();
+        let age = Duration::from_millis(announcement.response_age_ms.into());
+        let mut store_outage = shared.store_outage.borrow_mut();
+        store_outage.record_response(now - age);
+        if let Some(report) =
+            announcement.outage.filter(|_| announcement.position.era == self.applied.get().era)
+        {
+            store_outage.record_report(now, report);
+        }
+    }
+
     /// Announces the newest known position to the followers if this daemon is a relay and has announced nothing for some time.
     pub fn announce_if_due<A: Adapter>(&self, shared: &Shared<A>) {
         let now = shared.now();
@@ -265,8 +277,13 @@
         }
         self.announced_at.set(now);
         let position = shared.store_relay.borrow().newest(self.applied.get());
-        let idle =
-            Announcement { position, after: position.revision, changes: Vec::new(), response_age_ms: 0 };
+        let idle = Announcement {
+            position,
+            after: position.revision,
+            changes: Vec::new(),
+            response_age_ms: 0,
+            outage: None,
+        };
         self.announce(shared, vec![idle]);
     }
 
@@ -298,9 +315,10 @@
         self.announced_at.set(now);
         let age = now.since(shared.store_outage.borrow().last_response()).as_millis();
         let response_age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        let outage = shared.store_outage.borrow().recent(now);
         let followers = shared.members.borrow().followers();
         for announcement in announcements {
-            let message = PeerMessage::Store(Announcement { response_age_ms, ..announcement });
+            let message = PeerMessage::Store(Announcement { response_age_ms, outage, ..announcement });
             peers.send(shared, &followers, &message);
         }
     }
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -85,3 +85,20 @@
     outage.record_success(at(30_100), Revision(90));
     assert_eq!(outage.removal_time(at(30_200), Revision(89)), at(30_200));
 }
+
+/// Guards against a daemon that missed an outage, because another one watches for it, and drops running servers at its end; and
+/// against a report that hides the daemon's own later outage.
+#[test]
+fn a_reported_outage_counts_like_an_own_one() {
+    let report = long_outage().recent(at(9_400)).unwrap();
+    assert_eq!(long_outage().recent(at(12_000)), None, "entries have been restored");
+    let mut outage = StoreOutage::default();
+    outage.record_success(at(500), Revision(40));
+    outage.record_report(at(1_000), report);
+    assert_eq!(outage.removal_time(at(1_000), Revision(70)), at(600) + Duration::from_millis(2_200));
+    assert_eq!(outage.removal_time(at(1_000), Revision(71)), at(1_000));
+    let mut failing = StoreOutage::default();
+    failing.record_failure();
+    failing.record_report(at(1_000), report);
+    assert!(failing.is_ongoing());
+}
--- a/crates/gateway/tests/store_relay.rs
+++ b/crates/gateway/tests/store_relay.rs
@@ -18,7 +18,7 @@
 }
 
 fn announcement(after: u64, position: Position, changes: Vec<Entry>) -> Announcement {
-    Announcement { position, after: Revision(after), changes, response_age_ms: 0 }
+    Announcement { position, after: Revision(after), changes, response_age_ms: 0, outage: None }
 }
 
 /// Guards against changes that are applied with a gap, twice or in the wrong order after lost, repeated and late datagrams.
