Hold the quotas of client accounts over all daemons

Cause: the configuration may limit the requests of an account over all daemons, also while daemons are partitioned, paused or starting, and a share that one daemon does not use must reach others.

`gateway::quota` exchanges reports and grants in UDP datagrams and rejects requests over the share with 429 and `Retry-After` before their body is read. A request is counted at its arrival and again when it is sent, and its units are returned if it has not run. New settings: `[listen] peers`, `[limits] quota_window`, `quota_overrun`, `quota_slack`.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -15,6 +15,7 @@
 use medlarstair_state::steering::SteeringConfig;
 use medlarstair_state::steering::capacity::Capacity;
 use medlarstair_state::steering::engine::RoundTrips;
+use medlarstair_state::steering::quota::QuotaLimits;
 use medlarstair_state::steering::retries::RetryLimits;
 
 use crate::eventlog::LogLimits;
@@ -41,6 +42,9 @@
     pub directory_address: Option<SocketAddr>,
     /// Listening address for metrics. `None` if they are not served.
     pub metrics_address: Option<SocketAddr>,
+    /// Listening address for quota messages of other daemons, over UDP. `None` if there is none; each daemon then has an equal
+    /// part of each quota.
+    pub peer_address: Option<SocketAddr>,
     /// Requests per second that the daemon's VM can forward, estimated from its CPU share and link speed. A default if these
     /// are not set.
     pub capacity: Capacity,
@@ -59,6 +63,8 @@
     pub cold_overrun: f64,
     /// Requests per second that a cold server may receive in addition to its configured rate times `cold_overrun`.
     pub cold_slack: f64,
+    /// Tolerance of the quotas of client accounts.
+    pub quota_limits: QuotaLimits,
     /// Lowest level that is logged.
     pub log_level: LogLevel,
     /// Limits on the volume of the log.
@@ -144,6 +150,7 @@
     let ready = r.required("listen", "ready");
     let directory = r.optional("listen", "directory");
     let metrics = r.optional("listen", "metrics");
+    let peers = optional_or_empty(r, "listen", "peers");
     let capacity = read_capacity(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
@@ -155,6 +162,7 @@
     let slack = r.required("limits", "retry_slack");
     let cold_overrun = r.required("limits", "cold_overrun");
     let cold_slack = r.required("limits", "cold_slack");
+    let quota_limits = read_quota_limits(r);
     let log_level = r.optional("log", "level").unwrap_or(LogLevel::Info);
     let default_limits = LogLimits::default();
     let log_limits = LogLimits {
@@ -170,6 +178,7 @@
         readiness_address: ready?,
         directory_address: directory,
         metrics_address: metrics,
+        peer_address: peers,
         capacity,
         store_address: store?,
         grace_period: grace?.0,
@@ -182,11 +191,46 @@
         retries: RetryLimits { ratio: ratio?, window: window?.0, slack: slack? },
         cold_overrun: cold_overrun?,
         cold_slack: cold_slack?,
+        quota_limits,
         log_level,
         log_limits,
     })
 }
 
+/// Reads a setting for which an empty value counts as absent, as a template without a value leaves it.
+fn optional_or_empty<T: FromStr<Err: ToString>>(
+    r: &mut IniReader<'_>,
+    section: &'static str,
+    key: &'static str,
+) -> Option<T> {
+    if r.raw_value(section, key)?.is_empty() {
+        return None;
+    }
+    r.optional(section, key)
+}
+
+/// Reads the tolerance of quotas.
+fn read_quota_limits(r: &mut IniReader<'_>) -> QuotaLimits {
+    let default = QuotaLimits::default();
+    let window = optional_or_empty::<DurationText>(r, "limits", "quota_window").map(|text| text.0);
+    if window.is_some_and(|window| window.is_zero()) {
+        r.add_error("limits", "quota_window", "must be greater than zero");
+    }
+    let mut tolerance = |key| {
+        let value = optional_or_empty::<f64>(r, "limits", key)?;
+        if (0.0..f64::INFINITY).contains(&value) {
+            return Some(value);
+        }
+        r.add_error("limits", key, "must be a number of at least zero");
+        None
+    };
+    QuotaLimits {
+        window: window.unwrap_or(default.window),
+        overrun: tolerance("quota_overrun").unwrap_or(default.overrun),
+        slack: tolerance("quota_slack").unwrap_or(default.slack),
+    }
+}
+
 /// Reads a limit on the time within which a change must take effect.
 fn read_change_delay(r: &mut IniReader<'_>, key: &'static str) -> Option<Duration> {
     let delay = r.optional::<DurationText>("limits", key)?.0;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::notices;
 use crate::probe;
+use crate::quota;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
 
@@ -65,6 +66,7 @@
         self.shared.pool.borrow_mut().expire(now);
         self.shared.deliver_decisions();
         probe::start_due(&self.shared);
+        quota::send_reports(&self.shared);
     }
 }
 
@@ -86,6 +88,7 @@
     let events = EventLog::new(log.clone(), cfg.log_limits);
     let shared = Shared::new(cfg, adapter, metrics, events);
     listen(&shared).await?;
+    quota::bind(&shared).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %shared.cfg.client_address);
     let (store, store_recovered, watcher) =
         (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::default()));
@@ -156,6 +159,7 @@
         match Config::read(&path) {
             Ok(cfg) => {
                 shared.steering.borrow_mut().reconfigure(cfg.steering());
+                shared.quotas.borrow_mut().set_limits(shared.now(), cfg.quota_limits);
                 slog::info!(shared.events.logger(), "settings reloaded"; "code" => 501);
             }
             Err(e) => {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,7 @@
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
 use crate::notices;
+use crate::quota::{self, QuotaUnit, SentUnit};
 use crate::shared::Shared;
 
 /// Timeout for opening a connection to a backend server. It allows two round trips between the most distant regions.
@@ -58,8 +59,9 @@
     metadata: RequestMetadata,
     body: Bytes,
     call: Call,
-    /// Account of the client. `None` if no accounts are configured, or on a public route.
-    account: Option<Rc<Account>>,
+    /// Account of the client, with the unit that the request took from its quota. `None` if no accounts are configured, or on
+    /// a public route.
+    account: Option<QuotaUnit<A>>,
     /// Whether accounts are configured, so that servers must not get the client's own account headers.
     sets_account_headers: bool,
     /// Whether a server may have run the request, so that the client must not be told that it was not run.
@@ -76,6 +78,17 @@
     Unknown(SendOutcome),
 }
 
+impl SendResult {
+    /// Whether the server has not run the request.
+    fn is_certainly_not_run(&self) -> bool {
+        match self {
+            Self::Response(_, metadata) => metadata.misdirected || metadata.not_run,
+            Self::NotRun(_) => true,
+            Self::Unknown(_) => false,
+        }
+    }
+}
+
 /// Forwards a client request and returns the response to the client.
 pub async fn handle<A: Adapter>(shared: &Rc<Shared<A>>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let arrived = shared.now();
@@ -133,27 +146,28 @@
 }
 
 /// A request whose account may use its route.
-struct Admitted {
-    /// Account of the client. `None` if no accounts are configured, or on a public route.
-    account: Option<Rc<Account>>,
+struct Admitted<A: Adapter> {
+    /// Account of the client, with the unit that the request took from its quota. `None` if no accounts are configured, or on
+    /// a public route.
+    account: Option<QuotaUnit<A>>,
     /// The route as it applies to the account.
     route: Rc<Route>,
 }
 
-/// Authenticates a request before its body is read.
+/// Authenticates a request and checks the quota of its account before its body is read.
 ///
 /// # Errors
 ///
 /// The response to a request that is rejected.
 fn admit<A: Adapter>(
-    shared: &Shared<A>,
+    shared: &Rc<Shared<A>>,
     plan: &Plan,
     route: Rc<Route>,
     head: &Parts,
-) -> Result<Admitted, Box<ClientResponse>> {
+) -> Result<Admitted<A>, Box<ClientResponse>> {
+    let attempt = || shared.adapter.parse_request(&head.headers).attempt_id;
     let reject = |account: Option<&Account>, reason: &str| {
-        let attempt = shared.adapter.parse_request(&head.headers).attempt_id;
-        accounts::record_rejection(shared, &route, account, reason, attempt_text(attempt.as_ref()));
+        accounts::record_rejection(shared, &route, account, reason, attempt_text(attempt().as_ref()));
     };
     let account = match accounts::authenticate(&shared.adapter, plan, &route, &head.headers) {
         Ok(Some(account)) => account,
@@ -168,7 +182,14 @@
         reject(Some(&account), &reason.to_string());
         return Err(Box::new(refusal_response(Refusal { reason, retry_after: DEFAULT_RETRY_AFTER })));
     };
-    Ok(Admitted { account: Some(account), route: Rc::new(own_route) })
+    match QuotaUnit::take(shared, &account) {
+        Ok(unit) => Ok(Admitted { account: Some(unit), route: Rc::new(own_route) }),
+        Err(exceeded) => {
+            quota::record_exceeded(shared, &route, &account, exceeded, attempt_text(attempt().as_ref()));
+            let refusal = Refusal { reason: Reason::Quota, retry_after: exceeded.retry_after };
+            Err(Box::new(refusal_response(refusal)))
+        }
+    }
 }
 
 /// Identity of a client's attempt for the log; `-` if there is none.
@@ -247,11 +268,14 @@
     async fn run(&mut self) -> (Response<Full<Bytes>>, &'static str) {
         let mut failed_response: Option<Box<BufferedResponse>> = None;
         loop {
-            let choice = match self.select_backend().await {
-                Ok(choice) => choice,
+            let (choice, unit) = match self.select_backend().await {
+                Ok(selected) => selected,
                 Err(refusal) => return self.respond_unsent(refusal, failed_response),
             };
             let sent = self.send(&choice).await;
+            if let Some(unit) = unit.filter(|_| sent.is_certainly_not_run()) {
+                unit.refund();
+            }
             self.call.tried_backends.push(choice.backend.clone());
             match sent {
                 SendResult::Response(_, metadata) if metadata.misdirected || metadata.not_run => {}
@@ -280,7 +304,7 @@
     }
 
     /// Selects the backend server for the next send, waiting in the queue if necessary.
-    async fn select_backend(&self) -> Result<SelectedBackend, Refusal> {
+    async fn select_backend(&self) -> Result<(SelectedBackend, Option<SentUnit<'_, A>>), Refusal> {
         let shared = &**self.shared;
         if shared.shutdown().is_some_and(|shutdown| self.call.arrived_at >= shutdown.accept_until) {
             return Err(Refusal { reason: Reason::Stopping, retry_after: STOPPING_RETRY_AFTER });
@@ -291,27 +315,42 @@
             decision => decision,
         };
         match decision {
-            Decision::Send(choice) => self.authorize_send(choice),
+            Decision::Send(choice) => match self.authorize_send(&choice) {
+                Ok(unit) => Ok((choice, unit)),
+                Err(refusal) => Err(refusal),
+            },
             Decision::Refuse(refusal) => Err(refusal),
             Decision::Wait(_) => Err(Refusal { reason: Reason::Overload, retry_after: DEFAULT_RETRY_AFTER }),
         }
     }
 
-    /// Checks that the account may still send the request. Otherwise the send is reported as cancelled.
-    fn authorize_send(&self, choice: SelectedBackend) -> Result<SelectedBackend, Refusal> {
+    /// Checks that the account may still send the request, and counts the send against its quota. If it may not, the send is
+    /// reported as cancelled.
+    fn authorize_send(&self, choice: &SelectedBackend) -> Result<Option<SentUnit<'_, A>>, Refusal> {
         let shared = &**self.shared;
-        let Some(account) = &self.account else {
-            return Ok(choice);
+        let Some(unit) = &self.account else {
+            return Ok(None);
         };
-        let Err(reason) = accounts::check_still_valid(shared, account, &self.head.headers) else {
-            return Ok(choice);
+        let refusal = match self.check_account(unit) {
+            Ok(sent) => return Ok(Some(sent)),
+            Err(refusal) => refusal,
         };
         let now = shared.now();
-        shared.steering.borrow_mut().record_outcome(now, &self.call, &choice, SendOutcome::Cancelled);
+        shared.steering.borrow_mut().record_outcome(now, &self.call, choice, SendOutcome::Cancelled);
         shared.deliver_decisions();
-        let route = &self.call.route;
-        accounts::record_rejection(shared, route, Some(account), &reason.to_string(), self.request_id());
-        Err(Refusal { reason, retry_after: DEFAULT_RETRY_AFTER })
+        Err(refusal)
+    }
+
+    fn check_account<'u>(&self, unit: &'u QuotaUnit<A>) -> Result<SentUnit<'u, A>, Refusal> {
+        let (shared, account, route) = (&**self.shared, unit.account(), &self.call.route);
+        if let Err(reason) = accounts::check_still_valid(shared, account, &self.head.headers) {
+            accounts::record_rejection(shared, route, Some(account), &reason.to_string(), self.request_id());
+            return Err(Refusal { reason, retry_after: DEFAULT_RETRY_AFTER });
+        }
+        unit.send().map_err(|exceeded| {
+            quota::record_exceeded(shared, route, account, exceeded, self.request_id());
+            Refusal { reason: Reason::Quota, retry_after: exceeded.retry_after }
+        })
     }
 
     /// Waits until the queued request can be sent or is refused. Returns [`Decision::Wait`] if its deadline passes first.
@@ -476,7 +515,7 @@
         *req.headers_mut() = end_to_end_headers(&self.head.headers);
         self.shared.adapter.set_backend_headers(req.headers_mut(), backend, left);
         if self.sets_account_headers {
-            let name = self.account.as_ref().map(|account| &account.name);
+            let name = self.account.as_ref().map(|unit| &unit.account().name);
             self.shared.adapter.set_account_headers(req.headers_mut(), name);
         }
         Some(req)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod notices;
 pub mod pool;
 pub mod probe;
+pub mod quota;
 pub mod shared;
 pub mod store_outage;
 pub mod store_watcher;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -12,6 +12,7 @@
 use medlarstair_state::steering::capacity::{Capacity, advertised};
 use medlarstair_state::steering::engine::DaemonCounts;
 use medlarstair_state::steering::poison::Crash;
+use medlarstair_state::steering::quota::{DaemonKey, QuotaDaemon};
 use medlarstair_transport::kv::{LeaseId, Precondition, RenewableLeaseStore, StoreError, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -59,6 +60,9 @@
     /// Requests per second that the daemon can forward. Absent means a default.
     #[serde(default)]
     pub capacity: Capacity,
+    /// Address at which the daemon receives quota messages. Absent if it receives none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<SocketAddr>,
     /// Requests during which a backend server crashed, as this daemon observed. Absent means none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
@@ -70,6 +74,8 @@
     local_name: Box<str>,
     local: Member,
     others: BTreeMap<Box<str>, Member>,
+    /// Addresses of the others for quota messages.
+    peer_addresses: BTreeMap<DaemonKey, SocketAddr>,
 }
 
 impl Members {
@@ -80,13 +86,21 @@
             region: cfg.region.clone(),
             domain: cfg.domain.clone(),
             capacity: cfg.capacity,
+            peers: cfg.peer_address,
             crashes: Vec::new(),
         };
-        Self { local_name: cfg.name.clone(), local, others: BTreeMap::new() }
+        Self { local_name: cfg.name.clone(), local, others: BTreeMap::new(), peer_addresses: BTreeMap::new() }
     }
 
     /// Applies an entry. `member` is `None` if the entry was deleted or is malformed. The entry of this daemon is ignored.
     pub fn apply(&mut self, name: &str, member: Option<Member>) {
+        if *name != *self.local_name {
+            let key = DaemonKey::from_name(name);
+            match member.as_ref().and_then(|m| m.peers) {
+                Some(address) => self.peer_addresses.insert(key, address),
+                None => self.peer_addresses.remove(&key),
+            };
+        }
         match member {
             _ if *name == *self.local_name => {}
             Some(member) => {
@@ -109,6 +123,37 @@
         DaemonCounts { total: self.others.len() + 1, sharing_load }
     }
 
+    /// Describes this daemon and the others for the division of quotas.
+    pub fn quota_daemons(&self) -> (QuotaDaemon, Vec<QuotaDaemon>) {
+        let mut regions: BTreeMap<&Region, Vec<(&str, &Member)>> = BTreeMap::new();
+        regions.entry(&self.local.region).or_default().push((&self.local_name, &self.local));
+        for (name, member) in &self.others {
+            regions.entry(&member.region).or_default().push((name, member));
+        }
+        let own_key = DaemonKey::from_name(&self.local_name);
+        let mut own = QuotaDaemon { key: own_key, advertised: true, reachable: self.local.peers.is_some() };
+        let mut others = Vec::with_capacity(self.others.len());
+        for members in regions.values() {
+            let capacities: Vec<Capacity> = members.iter().map(|(_, m)| m.capacity).collect();
+            for ((name, member), is_advertised) in members.iter().zip(advertised(&capacities)) {
+                let key = DaemonKey::from_name(name);
+                let daemon =
+                    QuotaDaemon { key, advertised: is_advertised, reachable: member.peers.is_some() };
+                if key == own_key {
+                    own = daemon;
+                } else {
+                    others.push(daemon);
+                }
+            }
+        }
+        (own, others)
+    }
+
+    /// Address at which another daemon receives quota messages. `None` if it is not listed or receives none.
+    pub fn peer_address(&self, key: DaemonKey) -> Option<SocketAddr> {
+        self.peer_addresses.get(&key).copied()
+    }
+
     /// Addresses of the daemons that a client should use. These are the daemons of `region` or, if it has none, of all
     /// regions, without those that are held in reserve because of their small capacity. `local_ready` tells whether this
     /// daemon may be included.
@@ -140,6 +185,7 @@
     while shared.phase() == Phase::Serving {
         // Created before the renewal, so that a shutdown that begins during it is not missed.
         let shutdown_started = shared.shutdown_started.notified();
+        let called_at = shared.now();
         let renewed = match timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await {
             Ok(Ok(renewed)) => {
                 registration = Some(renewed);
@@ -148,6 +194,7 @@
             Ok(Err(_)) | Err(_) => false,
         };
         if renewed {
+            shared.quotas.borrow_mut().record_registration(called_at);
             shared.store_outage.borrow_mut().record_response(shared.now());
         } else {
             shared.store_outage.borrow_mut().record_failure();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,10 @@
     pub notices: IntCounterVec,
     /// Requests that were rejected because of their account, by reason.
     pub account_rejections: IntCounterVec,
+    /// Quota messages, by kind.
+    pub quota_messages: IntCounterVec,
+    /// Bytes of quota messages, by direction.
+    pub quota_bytes: IntCounterVec,
     /// Faults in the client accounts of the configuration versions that came into effect, by kind.
     pub account_faults: IntCounterVec,
 }
@@ -49,6 +53,9 @@
             counter("medlarstair_account_rejections_total", "Requests rejected by account", &["reason"])?;
         let account_faults =
             counter("medlarstair_account_faults_total", "Faulty client accounts", &["kind"])?;
+        let quota_messages = counter("medlarstair_quota_messages_total", "Quota messages", &["kind"])?;
+        let quota_bytes =
+            counter("medlarstair_quota_bytes_total", "Bytes of quota messages", &["direction"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
@@ -61,6 +68,8 @@
             connections,
             notices,
             account_rejections,
+            quota_messages,
+            quota_bytes,
             account_faults,
         })
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,13 +2,15 @@
 //!
 //! All tasks run on one thread. No `RefCell` borrow is held across an `await`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use medlarstair_state::steering::quota::{DaemonKey, Quotas};
 use medlarstair_state::steering::{Decision, QueueTicket, Steering};
 use medlarstair_state::time::Timestamp;
-use medlarstair_transport::clock::BootClock;
+use medlarstair_transport::clock::{BootClock, wall_ms};
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
 use crate::adapter::Adapter;
@@ -45,6 +47,10 @@
     pub adapter: A,
     /// Routing logic, which holds the configuration and the state of the backend servers.
     pub steering: RefCell<Steering>,
+    /// Quotas of the client accounts.
+    pub quotas: RefCell<Quotas>,
+    /// Socket for quota messages. Empty if the settings have no address for it.
+    pub peer_socket: OnceCell<UdpSocket>,
     /// Daemons of the deployment that are known to run.
     pub members: RefCell<Members>,
     /// Idle connections to backend servers.
@@ -67,16 +73,20 @@
     /// Creates the state of a daemon that is starting.
     pub fn new(cfg: Config, adapter: A, metrics: Metrics, events: EventLog) -> Rc<Self> {
         let steering = RefCell::new(Steering::new(cfg.steering()));
+        let clock = BootClock::start();
+        let quotas = Quotas::new(DaemonKey::from_name(&cfg.name), cfg.quota_limits, clock.now(), wall_ms());
         Rc::new(Self {
             adapter,
             steering,
+            quotas: RefCell::new(quotas),
+            peer_socket: OnceCell::new(),
             members: RefCell::new(Members::new(&cfg)),
             pool: RefCell::new(Pool::default()),
             store_outage: RefCell::default(),
             metrics,
             events,
             shutdown_started: Notify::new(),
-            clock: BootClock::start(),
+            clock,
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             waiters: RefCell::new(BTreeMap::new()),
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -140,6 +140,8 @@
         }
         let counts = shared.members.borrow().counts();
         shared.steering.borrow_mut().set_daemons(shared.now(), counts);
+        let (own, others) = shared.members.borrow().quota_daemons();
+        shared.quotas.borrow_mut().set_daemons(shared.now(), own, others);
         shared.deliver_decisions();
     }
 
@@ -165,6 +167,7 @@
                 let in_force = shared.steering.borrow_mut().apply_plan(*plan);
                 if in_force {
                     accounts::record_faults(shared, &accounts);
+                    shared.quotas.borrow_mut().set_accounts(shared.now(), &accounts);
                 }
                 slog::info!(shared.events.logger(), "routing configuration received"; "code" => 510,
                     "version" => version.0, "revision" => entry.revision.0, "in_force" => in_force);
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use medlarstair_gateway::Config;
+use medlarstair_state::steering::quota::QuotaLimits;
 
 const VALID: &str = "[node]\nname = n\nregion = seq\ndomain = seq-a\n[domains]\nseq-a = seq\n[listen]\n\
     callers = 127.0.0.1:1\nready = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n[limits]\ngrace = 6s\n\
@@ -21,6 +22,23 @@
     }
 }
 
+/// Guards against a template without a value that makes the settings unusable, and against a wrong default.
+#[test]
+fn quota_settings_may_be_empty() {
+    let empty = "[limits]\nquota_window =\nquota_overrun =\nquota_slack =\n";
+    let given = "[limits]\nquota_window = 2s\nquota_overrun = 0.2\nquota_slack = 7\n";
+    for (settings, expected) in [
+        ("[limits]\n", QuotaLimits::default()),
+        (empty, QuotaLimits::default()),
+        (given, QuotaLimits { window: Duration::from_secs(2), overrun: 0.2, slack: 7.0 }),
+    ] {
+        assert_eq!(Config::parse(&VALID.replace("[limits]\n", settings)).unwrap().quota_limits, expected);
+    }
+    let peers = |value| VALID.replace("[listen]\n", &format!("[listen]\npeers = {value}\n"));
+    assert_eq!(Config::parse(&peers("")).unwrap().peer_address, None);
+    assert_eq!(Config::parse(&peers("127.0.0.1:9")).unwrap().peer_address, "127.0.0.1:9".parse().ok());
+}
+
 /// Guards against settings that are accepted although a value is missing, invalid, unknown or duplicated, and against errors
 /// that do not name the key.
 #[test]
@@ -33,6 +51,11 @@
         ("[limits]\n", "[limits]\ndrain = 2\n", "[limits] drain"),
         // With a delay of zero, a daemon would call the key-value service without a pause.
         ("[limits]\n", "[limits]\ndrain = 0s\n", "[limits] drain"),
+        ("[limits]\n", "[limits]\nquota_window = 0s\n", "[limits] quota_window"),
+        ("[limits]\n", "[limits]\nquota_window = 5\n", "[limits] quota_window"),
+        ("[limits]\n", "[limits]\nquota_overrun = -0.1\n", "[limits] quota_overrun"),
+        ("[limits]\n", "[limits]\nquota_slack = inf\n", "[limits] quota_slack"),
+        ("[listen]\n", "[listen]\npeers = somewhere\n", "[listen] peers"),
         ("store = 127.0.0.1:3", "store = store.example", "[platform] store"),
         ("max_shift = 0.15", "max_shift = much", "[limits] max_shift"),
         ("[node]\n", "[node]\ncolour = red\n", "[node] colour"),
--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -10,6 +10,7 @@
 //! - [`affinity`]: which server holds the state of an object, so that repeated work finds it cached.
 //! - [`round_robin`]: weighted distribution of the requests of a route over services, without sampling error.
 //! - [`home_demand`]: the demand by which objects are assigned to regions, steady while the load varies.
+//! - [`quota`]: holds the quotas of accounts over all daemons.
 //! - [`region_shift`]: limits how fast traffic moves between regions.
 //! - [`warmup`]: limits the request rate to a cold server, over all daemons.
 //! - [`retries`]: limits retries, so that they cannot amplify an overload.
@@ -26,6 +27,7 @@
 pub mod home_demand;
 pub mod plan;
 pub mod poison;
+pub mod quota;
 pub mod region_shift;
 pub mod retries;
 pub mod retry_after;
