Merge quotas of client accounts

A lease with messages between daemons lasts 5 s instead of 6 s, so that a look-up does not name a daemon for more than 6 s after it was killed.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,8 +22,9 @@
 use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
 use crate::notices;
-use crate::peers::PeerSocket;
+use crate::peers;
 use crate::probe;
+use crate::quota;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
 
@@ -67,6 +68,7 @@
         self.shared.pool.borrow_mut().expire(now);
         self.shared.deliver_decisions();
         probe::start_due(&self.shared);
+        quota::send_reports(&self.shared);
     }
 }
 
@@ -88,13 +90,10 @@
     let events = EventLog::new(log.clone(), cfg.log_limits);
     let shared = Shared::new(cfg, adapter, metrics, events);
     listen(&shared).await?;
+    peers::bind(&shared).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %shared.cfg.client_address);
-    let peers = match shared.cfg.peer_address {
-        Some(address) => Some(PeerSocket::bind(address).await?),
-        None => None,
-    };
     let (store, store_recovered, watcher) =
-        (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::new(peers)));
+        (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::default()));
     let registration = actix_rt::spawn(maintain_registration(
         Rc::clone(&shared),
         Rc::clone(&store),
@@ -104,10 +103,7 @@
         let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
         actix_rt::spawn(async move { watcher.run(shared, store, store_recovered).await });
     }
-    {
-        let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
-        actix_rt::spawn(async move { watcher.follow_relay(&shared).await });
-    }
+    actix_rt::spawn(peers::receive_all(Rc::clone(&shared), Rc::clone(&watcher)));
     Housekeeper { shared: Rc::clone(&shared), watcher }.start();
     actix_rt::spawn(reload_on_hangup(Rc::clone(&shared), path, signal(SignalKind::hangup())?));
     signal(SignalKind::terminate())?.recv().await;
@@ -166,6 +162,7 @@
         match Config::read(&path) {
             Ok(cfg) => {
                 shared.steering.borrow_mut().reconfigure(cfg.steering());
+                shared.quotas.borrow_mut().set_limits(shared.now(), cfg.quota_limits);
                 slog::info!(shared.events.logger(), "settings reloaded"; "code" => 501);
             }
             Err(e) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod pool;
 pub mod probe;
+pub mod quota;
 pub mod shared;
 pub mod store_outage;
 pub mod store_relay;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -12,6 +12,7 @@
 use medlarstair_state::steering::capacity::{Capacity, advertised};
 use medlarstair_state::steering::engine::DaemonCounts;
 use medlarstair_state::steering::poison::Crash;
+use medlarstair_state::steering::quota::{DaemonKey, QuotaDaemon};
 use medlarstair_transport::kv::{LeaseId, Precondition, RenewableLeaseStore, StoreError, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -31,13 +32,13 @@
 const LEASE_TTL: Duration = Duration::from_millis(4_500);
 
 /// TTL of the lease if the daemons exchange messages, so that most of them renew it rarely.
-const RELAYED_LEASE_TTL: Duration = Duration::from_millis(6_000);
+const RELAYED_LEASE_TTL: Duration = Duration::from_millis(5_000);
 
 /// Interval between renewals of the lease. They also show whether the service responds.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
 
 /// Interval between renewals of a daemon whose relay announces that the service responds.
-const FOLLOWER_RENEWAL_PERIOD: Duration = Duration::from_millis(2_700);
+const FOLLOWER_RENEWAL_PERIOD: Duration = Duration::from_millis(2_250);
 
 /// Interval before a failed renewal is repeated. It bounds how late the end of an outage is noticed.
 const RENEWAL_RETRY_PERIOD: Duration = Duration::from_millis(300);
@@ -80,6 +81,8 @@
     local_name: Box<str>,
     local: Member,
     others: BTreeMap<Box<str>, Member>,
+    /// Addresses of the others for quota messages.
+    peer_addresses: BTreeMap<DaemonKey, SocketAddr>,
 }
 
 impl Members {
@@ -93,11 +96,18 @@
             peers: cfg.peer_address,
             crashes: Vec::new(),
         };
-        Self { local_name: cfg.name.clone(), local, others: BTreeMap::new() }
+        Self { local_name: cfg.name.clone(), local, others: BTreeMap::new(), peer_addresses: BTreeMap::new() }
     }
 
     /// Applies an entry. `member` is `None` if the entry was deleted or is malformed. The entry of this daemon is ignored.
     pub fn apply(&mut self, name: &str, member: Option<Member>) {
+        if *name != *self.local_name {
+            let key = DaemonKey::from_name(name);
+            match member.as_ref().and_then(|m| m.peers) {
+                Some(address) => self.peer_addresses.insert(key, address),
+                None => self.peer_addresses.remove(&key),
+            };
+        }
         match member {
             _ if *name == *self.local_name => {}
             Some(member) => {
@@ -162,6 +172,37 @@
         DaemonCounts { total: self.others.len() + 1, sharing_load }
     }
 
+    /// Describes this daemon and the others for the division of quotas.
+    pub fn quota_daemons(&self) -> (QuotaDaemon, Vec<QuotaDaemon>) {
+        let mut regions: BTreeMap<&Region, Vec<(&str, &Member)>> = BTreeMap::new();
+        regions.entry(&self.local.region).or_default().push((&self.local_name, &self.local));
+        for (name, member) in &self.others {
+            regions.entry(&member.region).or_default().push((name, member));
+        }
+        let own_key = DaemonKey::from_name(&self.local_name);
+        let mut own = QuotaDaemon { key: own_key, advertised: true, reachable: self.local.peers.is_some() };
+        let mut others = Vec::with_capacity(self.others.len());
+        for members in regions.values() {
+            let capacities: Vec<Capacity> = members.iter().map(|(_, m)| m.capacity).collect();
+            for ((name, member), is_advertised) in members.iter().zip(advertised(&capacities)) {
+                let key = DaemonKey::from_name(name);
+                let daemon =
+                    QuotaDaemon { key, advertised: is_advertised, reachable: member.peers.is_some() };
+                if key == own_key {
+                    own = daemon;
+                } else {
+                    others.push(daemon);
+                }
+            }
+        }
+        (own, others)
+    }
+
+    /// Address at which another daemon receives quota messages. `None` if it is not listed or receives none.
+    pub fn peer_address(&self, key: DaemonKey) -> Option<SocketAddr> {
+        self.peer_addresses.get(&key).copied()
+    }
+
     /// Addresses of the daemons that a client should use. These are the daemons of `region` or, if it has none, of all
     /// regions, without those that are held in reserve because of their small capacity. `local_ready` tells whether this
     /// daemon may be included.
@@ -195,6 +236,7 @@
         // Created before the renewal, so that a shutdown that begins during it is not missed.
         let shutdown_started = shared.shutdown_started.notified();
         let store_restored = shared.store_restored.notified();
+        let called_at = shared.now();
         let result = timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await;
         let renewed = match result.map_err(StoreError::new).flatten() {
             Ok(renewed) => {
@@ -207,6 +249,7 @@
             }
         };
         if renewed {
+            shared.quotas.borrow_mut().record_registration(called_at);
             shared.store_outage.borrow_mut().record_response(shared.now());
         } else {
             shared.store_outage.borrow_mut().record_failure();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,10 @@
     pub notices: IntCounterVec,
     /// Requests that were rejected because of their account, by reason.
     pub account_rejections: IntCounterVec,
+    /// Messages to and from other daemons, by kind and direction.
+    pub peer_messages: IntCounterVec,
+    /// Bytes of these messages, by kind and direction.
+    pub peer_bytes: IntCounterVec,
     /// Faults in the client accounts of the configuration versions that came into effect, by kind.
     pub account_faults: IntCounterVec,
     /// Calls to the key-value service, by kind and result.
@@ -57,6 +61,10 @@
             counter("medlarstair_store_calls_total", "Calls to the key-value service", &["kind", "result"])?;
         let store_eras =
             counter("medlarstair_store_eras_total", "Changes of the era of the service", &["direction"])?;
+        let peer_messages =
+            counter("medlarstair_peer_messages_total", "Messages between daemons", &["kind", "direction"])?;
+        let peer_bytes =
+            counter("medlarstair_peer_bytes_total", "Bytes of these messages", &["kind", "direction"])?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
@@ -69,6 +77,8 @@
             connections,
             notices,
             account_rejections,
+            peer_messages,
+            peer_bytes,
             account_faults,
             store_calls,
             store_eras,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,13 +2,14 @@
 //!
 //! All tasks run on one thread. No `RefCell` borrow is held across an `await`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use medlarstair_state::steering::quota::{DaemonKey, Quotas};
 use medlarstair_state::steering::{Decision, QueueTicket, Steering};
 use medlarstair_state::time::Timestamp;
-use medlarstair_transport::clock::BootClock;
+use medlarstair_transport::clock::{BootClock, wall_ms};
 use tokio::sync::{Notify, oneshot};
 
 use crate::adapter::Adapter;
@@ -16,6 +17,7 @@
 use crate::eventlog::EventLog;
 use crate::membership::Members;
 use crate::metrics::Metrics;
+use crate::peers::PeerSocket;
 use crate::pool::Pool;
 use crate::store_outage::StoreOutage;
 use crate::store_relay::StoreRelay;
@@ -46,6 +48,10 @@
     pub adapter: A,
     /// Routing logic, which holds the configuration and the state of the backend servers.
     pub steering: RefCell<Steering>,
+    /// Quotas of the client accounts.
+    pub quotas: RefCell<Quotas>,
+    /// Socket for messages of other daemons. Empty if the settings have no address for it.
+    pub peer_socket: OnceCell<PeerSocket>,
     /// Daemons of the deployment that are known to run.
     pub members: RefCell<Members>,
     /// Idle connections to backend servers.
@@ -72,9 +78,13 @@
     /// Creates the state of a daemon that is starting.
     pub fn new(cfg: Config, adapter: A, metrics: Metrics, events: EventLog) -> Rc<Self> {
         let steering = RefCell::new(Steering::new(cfg.steering()));
+        let clock = BootClock::start();
+        let quotas = Quotas::new(DaemonKey::from_name(&cfg.name), cfg.quota_limits, clock.now(), wall_ms());
         Rc::new(Self {
             adapter,
             steering,
+            quotas: RefCell::new(quotas),
+            peer_socket: OnceCell::new(),
             members: RefCell::new(Members::new(&cfg)),
             pool: RefCell::new(Pool::default()),
             store_outage: RefCell::default(),
@@ -83,7 +93,7 @@
             events,
             shutdown_started: Notify::new(),
             store_restored: Notify::new(),
-            clock: BootClock::start(),
+            clock,
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             waiters: RefCell::new(BTreeMap::new()),
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -20,7 +20,7 @@
 use crate::adapter::{Adapter, StoreUpdate};
 use crate::eventlog::log_store_failure;
 use crate::membership::{MEMBER_PREFIX, Member};
-use crate::peers::{MAX_DATAGRAM_BYTES, PeerMessage, PeerSocket, log_ignored};
+use crate::peers::{MAX_DATAGRAM_BYTES, PeerMessage, log_ignored};
 use crate::shared::Shared;
 use crate::store_outage::ENTRY_RESTORE_GRACE_PERIOD;
 use crate::store_relay::{ANNOUNCEMENT_PERIOD, Announcement, Position, Reaction, Source, split};
@@ -65,19 +65,12 @@
     pending_removals: RefCell<BTreeMap<Backend, PendingRemoval>>,
     /// Position up to which all changes have been applied.
     applied: Cell<Position>,
-    /// Socket for announcements. `None` if this daemon exchanges no messages.
-    peers: Option<PeerSocket>,
     /// Notified when an announcement tells of changes that must be fetched.
     fetch_needed: Notify,
     announced_at: Cell<Timestamp>,
 }
 
 impl StoreWatcher {
-    /// Creates a watcher that knows no entries. It exchanges announcements with other daemons if there is a socket.
-    pub fn new(peers: Option<PeerSocket>) -> Self {
-        Self { peers, ..Self::default() }
-    }
-
     /// Follows the service until the daemon exits. `store_recovered` is notified when the service responds again after an
     /// outage, so that a hanging watch is restarted.
     pub async fn run<A: Adapter, S: RenewableLeaseStore>(
@@ -213,26 +206,13 @@
         self.apply_entries(shared, changes);
     }
 
-    /// Receives the announcements of relays until the daemon exits.
-    pub async fn follow_relay<A: Adapter>(&self, shared: &Shared<A>) {
-        let Some(peers) = &self.peers else {
-            return;
-        };
-        loop {
-            match peers.receive(shared).await {
-                Ok((from, PeerMessage::Store(announcement))) => {
-                    self.on_announcement(shared, from, announcement)
-                }
-                Err(e) => {
-                    slog::warn!(shared.events.logger(), "messages of other daemons cannot be received";
-                        "code" => 569, "cause" => %e);
-                    sleep(MAX_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    fn on_announcement<A: Adapter>(&self, shared: &Shared<A>, from: SocketAddr, announcement: Announcement) {
+    /// Handles an announcement of a relay.
+    pub fn on_announcement<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        from: SocketAddr,
+        announcement: Announcement,
+    ) {
         let members = shared.members.borrow();
         let Some(domain) = members.domain_of_peer(from) else {
             return log_ignored(shared, from, "no daemon of the region is listed with the address");
@@ -296,14 +276,14 @@
         end: Position,
         changes: &[Entry],
     ) {
-        if self.peers.is_some() {
+        if shared.peer_socket.get().is_some() {
             self.announce(shared, split(after, end, changes.to_vec(), MAX_CHANGES_BYTES));
         }
     }
 
     /// Sends announcements to the followers if this daemon is a relay that is served by the service.
     fn announce<A: Adapter>(&self, shared: &Shared<A>, announcements: Vec<Announcement>) {
-        let Some(peers) = &self.peers else {
+        let Some(peers) = shared.peer_socket.get() else {
             return;
         };
         if self.applied.get() == Position::default()
@@ -331,6 +311,8 @@
         }
         let counts = shared.members.borrow().counts();
         shared.steering.borrow_mut().set_daemons(shared.now(), counts);
+        let (own, others) = shared.members.borrow().quota_daemons();
+        shared.quotas.borrow_mut().set_daemons(shared.now(), own, others);
         shared.deliver_decisions();
     }
 
@@ -362,6 +344,7 @@
                 let in_force = shared.steering.borrow_mut().apply_plan(*plan);
                 if in_force {
                     accounts::record_faults(shared, &accounts);
+                    shared.quotas.borrow_mut().set_accounts(shared.now(), &accounts);
                 }
                 slog::info!(shared.events.logger(), "routing configuration received"; "code" => 510,
                     "version" => version.0, "revision" => entry.revision.0, "in_force" => in_force);
