Spread returning clients, and delay those that return early

Cause: once the schedule of retry times was full, each further refusal got the same longest delay, and a client that ignored its delay gained by it. A request whose objective had passed could still wait at a server.

The latency limits apply to the time that is left until the objective.

--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -21,11 +21,12 @@
 /// deadline is wasted.
 const LATENCY_SAFETY_FACTOR: f64 = 1.15;
 
-/// Maximum expected latency of a request that has to wait, relative to its latency objective. More than 1, because work
-/// varies: a request whose mean latency is slightly above the objective is often on time.
-const MAX_LATENCY_FRACTION: f64 = 1.3;
+/// Maximum expected latency of a request that has to wait, relative to the time until its latency objective. More than 1,
+/// because work varies: many requests end well before their expected latency.
+const MAX_LATENCY_FRACTION: f64 = 1.6;
 
-/// Maximum expected latency of a request that waits for a server without capacity, relative to its latency objective.
+/// Maximum expected latency of a request that waits for a server without capacity, relative to the time until its latency
+/// objective.
 const SAFE_LATENCY_FRACTION: f64 = 0.9;
 
 /// Maximum time that a request is held in the queue of the daemon, as a fraction of its latency objective.
@@ -102,16 +103,19 @@
         latency * LATENCY_SAFETY_FACTOR < self.remaining.as_secs_f64()
     }
 
+    /// Time in seconds until the latency objective has passed. Zero if it has.
+    fn objective_left(&self) -> f64 {
+        self.objective.saturating_sub(self.elapsed).as_secs_f64()
+    }
+
     /// Whether a response whose expected latency is `latency` seconds has a good chance to meet the latency objective.
     pub fn meets_objective(&self, latency: f64) -> bool {
-        let limit = self.objective.as_secs_f64() * MAX_LATENCY_FRACTION;
-        self.elapsed.as_secs_f64() + latency <= limit
+        latency <= self.objective_left() * MAX_LATENCY_FRACTION
     }
 
     /// Whether a response whose expected latency is `latency` seconds meets the latency objective with a margin.
     fn is_clearly_on_time(&self, latency: f64) -> bool {
-        let limit = self.objective.as_secs_f64() * SAFE_LATENCY_FRACTION;
-        self.elapsed.as_secs_f64() + latency <= limit
+        latency <= self.objective_left() * SAFE_LATENCY_FRACTION
     }
 
     /// Time for which the request may still be held in the queue of the daemon.
@@ -138,10 +142,9 @@
     /// assert!(offer.value_per_slot_second(&cold) < 0.3);
     /// ```
     pub fn value_per_slot_second(&self, estimate: &Estimate) -> f64 {
-        let left = self.objective.saturating_sub(self.elapsed).as_secs_f64();
         let latency = estimate.latency.max(0.001);
         // Half of the responses are on time if the expected latency equals the time left.
-        let on_time = (left / latency - 0.5).clamp(0.0, 1.0);
+        let on_time = (self.objective_left() / latency - 0.5).clamp(0.0, 1.0);
         let value = PRIORITY_VALUE_RATIO.powi(i32::from(self.priority.0));
         value * (on_time + LATE_VALUE * (1.0 - on_time)) / estimate.work.max(0.001)
     }
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -130,7 +130,14 @@
         let daemons = self.daemons as f64;
         let state = self.service_state(&call.service);
         let spacing = Duration::from_secs_f64(state.run_time.value * daemons / slots.max(1.0));
-        let retry_after = state.retry_schedule.next_delay(now, capacity_delay, spacing, max_delay);
+        let retry_after = state.retry_schedule.delay_for(
+            now,
+            call.fingerprint,
+            call.previously_refused,
+            capacity_delay,
+            spacing,
+            max_delay,
+        );
         Decision::Refuse(Refusal { reason, retry_after })
     }
 
--- a/crates/state/tests/steering_overload.rs
+++ b/crates/state/tests/steering_overload.rs
@@ -173,3 +173,42 @@
     check("usual A", &load_a(0.7), 0.2773, 0.99);
     check("usual B", &load_b(0.7), 0.5426, 0.99);
 }
+
+/// Guards against a request type that starves, and one that is served less than a less urgent one, for an overload of 1.45.
+#[test]
+fn no_request_type_starves() {
+    for load in [load_a(1.45), load_a_mixed(1.45), load_b(1.45)] {
+        let tallies = replay(&load);
+        let served = |t: &Tally| (t.on_time + t.late) / t.arrived;
+        let arrived: f64 = tallies.iter().map(|t| t.arrived).sum();
+        let overall = tallies.iter().map(|t| t.on_time + t.late).sum::<f64>() / arrived;
+        for (kind, tally) in load.kinds.iter().zip(&tallies) {
+            assert!(served(tally) >= overall / 4.0, "{}: {:.3} of {overall:.3}", kind.name, served(tally));
+            for (other, less) in load.kinds.iter().zip(&tallies) {
+                if other.priority <= kind.priority {
+                    continue;
+                }
+                let value = |k: &Kind, t: &Tally| t.value / t.arrived / k.value.0;
+                assert!(served(tally) >= served(less) - 0.05, "{} before {}", other.name, kind.name);
+                assert!(
+                    value(kind, tally) >= value(other, less) - 0.15,
+                    "{} before {}",
+                    other.name,
+                    kind.name
+                );
+            }
+        }
+    }
+}
+
+/// Guards against requests that wait in the queue of the daemon and are then refused, so that their objective has passed
+/// before they can be tried elsewhere.
+#[test]
+fn refusals_come_within_an_eighth_of_the_objective() {
+    for load in [load_a_mixed(1.45), load_b(1.45)] {
+        for (kind, tally) in load.kinds.iter().zip(replay(&load)) {
+            let held = tally.held / tally.refused;
+            assert!(held < 0.02, "{}: {held:.3} of the refusals were held longer", kind.name);
+        }
+    }
+}
