Test expiry, partition and tiny leases of quotas more strictly

Cause: the tests of quotas still passed with a lease that lasts from the receipt of the grant, a coordinator that goes on granting on the small side of a partition, floors of one request at every daemon, unlimited leases without a floor, and a share that is not a number.

Change: the partition includes the coordinator or not, buckets are full before a small quota is tested, and three tests are new.

--- a/crates/state/tests/quota.rs
+++ b/crates/state/tests/quota.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use medlarstair_state::steering::accounts::{Accounts, Quota, RequestRate};
+use medlarstair_state::steering::quota::coordinator::{Coordinator, Terms};
 use medlarstair_state::steering::quota::message::{Demand, LeasedShare, Sequence};
 use medlarstair_state::steering::quota::{
     AccountKey, Datagram, Grant, QuotaDaemon, QuotaLimits, Quotas, Report, Share,
@@ -134,30 +136,44 @@
 /// Guards against a quota that counts twice because each side of a partition has a coordinator.
 #[test]
 fn the_quota_holds_in_a_partition() {
-    const CUT: usize = DAEMONS / 3;
-    for _ in 0..2 {
+    for with_coordinator in [true, false] {
         let mut fleet = fleet();
         fleet.run(secs(3.0), |_| RATE);
-        fleet.is_cut = |a, b| (a < CUT) != (b < CUT);
-        fleet.is_off_store = |n| n < CUT;
+        let coordinator = fleet.coordinator();
+        let others = (0..DAEMONS).filter(|n| *n != coordinator).take(DAEMONS / 3);
+        let cut: BTreeSet<usize> = others.chain(with_coordinator.then_some(coordinator)).collect();
+        (fleet.cut, fleet.off_store) = (cut.clone(), cut.clone());
         fleet.run(secs(3.0), |_| RATE);
-        let left: BTreeSet<usize> = (CUT..DAEMONS).collect();
+        let left: BTreeSet<usize> = (0..DAEMONS).filter(|n| !cut.contains(n)).collect();
         left.iter().for_each(|n| fleet.set_view(*n, left.clone()));
         fleet.run(secs(12.0), |_| RATE);
-        assert!(fleet.max_excess <= 0.0, "{}", fleet.max_excess);
-        fleet.is_cut = |_, _| false;
-        fleet.is_off_store = |_| false;
+        assert!(fleet.max_share < 1.1, "{with_coordinator}: {}", fleet.max_share);
+        assert!(fleet.max_excess <= 0.0, "{with_coordinator}: {}", fleet.max_excess);
+        (fleet.cut, fleet.off_store) = Default::default();
         (0..DAEMONS).for_each(|n| fleet.set_view(n, (0..DAEMONS).collect()));
         fleet.run(secs(8.0), |_| RATE);
-        assert!(fleet.max_excess <= 0.0, "{}", fleet.max_excess);
+        assert!(fleet.max_excess <= 0.0, "{with_coordinator}: {}", fleet.max_excess);
     }
 }
 
+/// Guards against a daemon that keeps a lease although it hears from no other daemon.
+#[test]
+fn a_daemon_without_messages_has_its_floor_only() {
+    let mut fleet = fleet();
+    let lonely = (fleet.coordinator() + 1) % DAEMONS;
+    fleet.run(secs(3.0), |n| if n == lonely { RATE } else { USUAL });
+    fleet.cut = BTreeSet::from([lonely]);
+    fleet.run(secs(2.2), |n| if n == lonely { RATE } else { USUAL });
+    let (now, account) = (fleet.now, fleet.account.clone());
+    let share = fleet.quotas(lonely).share(now, &account).unwrap();
+    assert!(share <= 0.25 / DAEMONS as f64 + ROUNDING, "{share}");
+}
+
 /// Guards against the loss of all leases while the service that lists the daemons is not available.
 #[test]
 fn leases_are_granted_while_the_list_cannot_be_confirmed() {
     let mut fleet = fleet();
-    fleet.is_off_store = |_| true;
+    fleet.off_store = (0..DAEMONS).collect();
     fleet.run(secs(10.0), |_| USUAL);
     fleet.reset_served();
     fleet.run(secs(5.0), |_| USUAL);
@@ -184,7 +200,8 @@
 fn a_small_quota_holds_over_many_daemons() {
     for (daemons, rate, burst) in [(26, 1.0, 0.0), (26, 8.0, 8.0), (103, 2.0, 1.0)] {
         let mut fleet = Fleet::new(daemons, accounts(rate, burst));
-        fleet.run(secs(10.0), |_| 0.0);
+        // Long enough for all buckets to be full.
+        fleet.now = fleet.now + secs(2_000.0);
         fleet.run(secs(20.0), |_| 5.0);
         assert!(fleet.max_excess <= 0.0, "{daemons}: {}", fleet.max_excess);
     }
@@ -204,7 +221,7 @@
     }
 }
 
-fn single(now: Timestamp) -> (Quotas, medlarstair_state::steering::accounts::Accounts) {
+fn single(now: Timestamp) -> (Quotas, Accounts) {
     let accounts = accounts(10.0, 10.0);
     let mut quotas = Quotas::new(listed(0).key, QuotaLimits::default(), now, 1);
     quotas.set_accounts(now, &accounts);
@@ -248,6 +265,76 @@
     assert_eq!(quotas.share(now, account), Some(0.25));
 }
 
+/// A daemon that reports to another one, the report, and a grant that answers it.
+fn report_and_grant(sent_at: Timestamp, share: f32) -> (Quotas, Accounts, Grant) {
+    let accounts = accounts(10.0, 10.0);
+    for n in 0..4 {
+        let mut quotas = Quotas::new(listed(n).key, QuotaLimits::default(), Timestamp::ZERO, 1);
+        quotas.set_accounts(Timestamp::ZERO, &accounts);
+        quotas.set_daemons(Timestamp::ZERO, listed(n), (0..4).map(listed).collect());
+        let account = accounts.iter().next().unwrap();
+        while quotas.admit(sent_at, account).is_ok() {}
+        let Some(out) = quotas.tick(sent_at).pop() else {
+            continue;
+        };
+        let Datagram::Report(report) = out.datagram else { panic!("only reports are sent") };
+        let shares = vec![LeasedShare { account: report.demands[0].account, share: Share(share) }];
+        let (from, sequence) = (out.to, Sequence(1));
+        let grant = Grant { from, sequence, report: report.sequence, lease_ms: 2_000, shares };
+        return (quotas, accounts, grant);
+    }
+    panic!("one of the daemons is not the coordinator");
+}
+
+/// Guards against a lease that lasts longer at its holder than at the coordinator because its message was late, and against
+/// an invalid share.
+#[test]
+fn a_lease_lasts_from_the_time_of_the_report() {
+    let sent_at = Timestamp::from_millis(20_000);
+    for (share, delay_ms, at_ms, is_leased) in [
+        (0.5, 10, 20, true),
+        (0.5, 800, 1_990, true),
+        (0.5, 800, 2_010, false),
+        (0.5, 1_500, 1_600, false),
+        (2.0, 10, 20, false),
+        (-0.1, 10, 20, false),
+        (f32::NAN, 10, 20, false),
+        (f32::INFINITY, 10, 20, false),
+    ] {
+        let (mut quotas, accounts, grant) = report_and_grant(sent_at, share);
+        let account = accounts.iter().next().unwrap();
+        let delay = Duration::from_millis(delay_ms);
+        let received_at = sent_at + delay;
+        quotas.tick(received_at);
+        quotas.receive(received_at, &Datagram::Grant(grant)).unwrap();
+        let floor = 0.25 / 4.0;
+        let held = quotas.share(sent_at + Duration::from_millis(at_ms), account).unwrap();
+        let expected = if is_leased { floor + f64::from(share) } else { floor };
+        assert!((held - expected).abs() < ROUNDING, "{share} {delay_ms} {at_ms}: {held}");
+    }
+}
+
+/// Guards against a request too much at each of many daemons that have no floor and get a tiny lease.
+#[test]
+fn the_number_of_leases_without_a_floor_is_limited() {
+    let mut coordinator = Coordinator::default();
+    let terms = Terms {
+        quota: Quota { rate: RequestRate(100.0), burst: 0.0 },
+        leased_fraction: 0.75,
+        floor: 0.0,
+        lease_duration: secs(2.0),
+        tolerance: 20.0,
+    };
+    let demand = Demand { account: AccountKey(1), per_second: 0.1, held: Sequence(0) };
+    let mut leased = 0;
+    for n in 0..200 {
+        let now = Timestamp::from_millis(n);
+        let share = coordinator.grant(now, listed(n as usize).key, &demand, Sequence(n + 1), &terms);
+        leased += usize::from(share > Share(0.0));
+    }
+    assert!((1..=5).contains(&leased), "{leased}");
+}
+
 /// Guards against messages of strangers, and against invalid numbers, that change a share or cause a panic.
 #[test]
 fn invalid_messages_have_no_effect() {
--- a/crates/state/tests/quota_support/mod.rs
+++ b/crates/state/tests/quota_support/mod.rs
@@ -56,10 +56,10 @@
     pub loss: f64,
     /// Longest delay of a message.
     pub max_delay: Duration,
-    /// Whether messages from one daemon to another are lost.
-    pub is_cut: fn(usize, usize) -> bool,
-    /// Whether a daemon is cut off from the service that lists the daemons.
-    pub is_off_store: fn(usize) -> bool,
+    /// Daemons that exchange no messages with the others.
+    pub cut: BTreeSet<usize>,
+    /// Daemons that are cut off from the service that lists the daemons.
+    pub off_store: BTreeSet<usize>,
     /// Daemons that do nothing at present.
     pub paused: BTreeSet<usize>,
     /// Times of the requests within the last window.
@@ -87,8 +87,8 @@
             rng: Pcg64::seed_from_u64(1),
             loss: 0.0,
             max_delay: Duration::from_millis(15),
-            is_cut: |_, _| false,
-            is_off_store: |_| false,
+            cut: BTreeSet::new(),
+            off_store: BTreeSet::new(),
             paused: BTreeSet::new(),
             recent: VecDeque::new(),
             max_excess: f64::MIN,
@@ -176,7 +176,7 @@
     fn step(&mut self, n: usize, rate: f64) {
         let (now, account) = (self.now, Rc::clone(&self.account));
         let jitter = self.rng.random_range(0.0..2.0);
-        let is_registered = !(self.is_off_store)(n);
+        let is_registered = !self.off_store.contains(&n);
         let Some(daemon) = &mut self.daemons[n] else {
             return;
         };
@@ -204,7 +204,7 @@
         self.messages += 1;
         self.bytes += size;
         let to = self.keys[&to];
-        if (self.is_cut)(from, to) {
+        if self.cut.contains(&from) != self.cut.contains(&to) {
             return;
         }
         // A duplicate is sent as often as a message is lost.
