Reject for low value only if requests wait a third of their objective

Cause: the threshold on the value rose as soon as requests waited at the servers for an eighth of the shortest objective, which happens below the capacity. Change: the target of the wait is 0.35 of the objective, which still leaves time for the work on a warm object.

--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -33,7 +33,7 @@
 pub const MAX_HOLD_FRACTION: f64 = 0.125;
 
 /// Wait at the servers that the threshold aims at, as a fraction of the latency objective.
-const TARGET_WAIT_FRACTION: f64 = 0.125;
+const TARGET_WAIT_FRACTION: f64 = 0.35;
 
 /// Weight of a load report in the average wait.
 const WAIT_SAMPLE_WEIGHT: f64 = 0.1;
