Decide who gets memory and connections of a daemon

Change: decision logic without I/O. `steering::vm` derives limits from the memory and file descriptors of the VM, `steering::memory` reserves memory for bodies and evicts those with the least progress, and `steering::clients` decides which connections are accepted, replaced and cut.

--- /dev/null
+++ b/crates/state/src/steering/clients.rs
@@ -0,0 +1,177 @@
+//! Client connections of a daemon: how many it accepts, and which one gives way to a new one.
+//!
+//! A connection on which a request is being received, or none has begun, can be closed at any time, since the request has
+//! not been forwarded. One whose request runs is closed only if its client does not read the response.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::time::Timestamp;
+
+/// Time without a byte after which the delivery of a response is cut off.
+pub const DELIVERY_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time after the start of a delivery from which its rate is checked. The rate at the start depends on the window of TCP.
+const DELIVERY_RATE_GRACE: Duration = Duration::from_secs(10);
+
+/// Minimum mean rate of a delivery in bytes per second: a tenth of the part that each of 100 clients has of a link of
+/// 1 Mbit/s.
+const MIN_DELIVERY_RATE: f64 = 128.0;
+
+/// Identity of a client connection, unique in the lifetime of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub struct ConnectionId(u64);
+
+/// What happens on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// No request has begun, or one is being received.
+    Receiving,
+    /// A complete request is being handled.
+    Running,
+    /// A response is being delivered.
+    Delivering,
+}
+
+#[derive(Debug, Clone)]
+struct Connection {
+    phase: ConnectionPhase,
+    /// Time of the last change of the phase.
+    since: Timestamp,
+    progress_at: Timestamp,
+    /// Bytes written in this phase.
+    written: u64,
+    closing: bool,
+}
+
+/// Decision about a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The connection is accepted.
+    Accepted(ConnectionId),
+    /// The first connection is accepted, and the second one must be closed.
+    Replaced(ConnectionId, ConnectionId),
+    /// The connection is refused: all others run requests.
+    Refused,
+}
+
+/// Open client connections, up to a limit.
+///
+/// ```
+/// use medlarstair_state::steering::clients::{Admission, ClientTable};
+/// use medlarstair_state::time::Timestamp;
+/// let mut clients = ClientTable::new(1);
+/// let Admission::Accepted(first) = clients.admit(Timestamp::ZERO) else { panic!() };
+/// let Admission::Replaced(_, closed) = clients.admit(Timestamp::ZERO) else { panic!() };
+/// assert_eq!(closed, first);
+/// ```
+#[derive(Debug, Clone)]
+pub struct ClientTable {
+    limit: usize,
+    next: u64,
+    closing: usize,
+    connections: BTreeMap<ConnectionId, Connection>,
+}
+
+impl ClientTable {
+    /// Creates a table for at most `limit` connections, of which one at least is allowed.
+    pub fn new(limit: usize) -> Self {
+        Self { limit: limit.max(1), next: 0, closing: 0, connections: BTreeMap::new() }
+    }
+
+    /// Number of connections, with those that are being closed.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Decides about a new connection. At the limit, it replaces the one that has received nothing for the longest time.
+    pub fn admit(&mut self, now: Timestamp) -> Admission {
+        let victim = if self.connections.len() - self.closing >= self.limit {
+            let Some(victim) = self.least_progressing() else { return Admission::Refused };
+            Some(victim)
+        } else {
+            None
+        };
+        let id = ConnectionId(self.next);
+        self.next += 1;
+        let phase = ConnectionPhase::Receiving;
+        let connection = Connection { phase, since: now, progress_at: now, written: 0, closing: false };
+        self.connections.insert(id, connection);
+        match victim {
+            Some(victim) => {
+                self.mark_closing(victim);
+                Admission::Replaced(id, victim)
+            }
+            None => Admission::Accepted(id),
+        }
+    }
+
+    /// Removes a connection that has been closed.
+    pub fn remove(&mut self, id: ConnectionId) {
+        if self.connections.remove(&id).is_some_and(|c| c.closing) {
+            self.closing -= 1;
+        }
+    }
+
+    /// Records a change of the phase.
+    pub fn set_phase(&mut self, now: Timestamp, id: ConnectionId, phase: ConnectionPhase) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.phase = phase;
+            c.since = now;
+            c.progress_at = now;
+            c.written = 0;
+        }
+    }
+
+    /// Records that bytes were received.
+    pub fn record_read(&mut self, now: Timestamp, id: ConnectionId) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.progress_at = now;
+        }
+    }
+
+    /// Records that bytes were sent.
+    pub fn record_written(&mut self, now: Timestamp, id: ConnectionId, bytes: usize) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.progress_at = now;
+            c.written += bytes as u64;
+        }
+    }
+
+    /// Returns the connections whose clients do not read their responses. They must be closed, and are returned once.
+    pub fn take_stalled(&mut self, now: Timestamp) -> Vec<ConnectionId> {
+        let stalled = |c: &Connection| {
+            let age = now.since(c.since);
+            let is_silent = now.since(c.progress_at) >= DELIVERY_STALL_TIMEOUT;
+            let is_slow =
+                age >= DELIVERY_RATE_GRACE && (c.written as f64) < age.as_secs_f64() * MIN_DELIVERY_RATE;
+            c.phase == ConnectionPhase::Delivering && !c.closing && (is_silent || is_slow)
+        };
+        let ids: Vec<_> = self.connections.iter().filter(|(_, c)| stalled(c)).map(|(id, _)| *id).collect();
+        for id in &ids {
+            self.mark_closing(*id);
+        }
+        ids
+    }
+
+    /// The connection without a running request that has received nothing for the longest time.
+    fn least_progressing(&self) -> Option<ConnectionId> {
+        let candidates =
+            self.connections.iter().filter(|(_, c)| c.phase == ConnectionPhase::Receiving && !c.closing);
+        candidates.min_by_key(|(id, c)| (c.progress_at, **id)).map(|(id, _)| *id)
+    }
+
+    fn mark_closing(&mut self, id: ConnectionId) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.closing = true;
+            self.closing += 1;
+        }
+    }
+}
--- a/crates/state/src/steering/mod.rs
+++ b/crates/state/src/steering/mod.rs
@@ -16,12 +16,20 @@
 //! - [`capacity`]: which daemons are advertised to clients, so that small VMs do not delay them.
 //! - [`poison`]: refuses requests that crash the servers which run them.
 //! - [`engine`]: combines the above; the only entry point for a daemon.
+//!
+//! Three modules limit what untrusted clients and faulty servers take from a daemon, independently of the routing:
+//!
+//! - [`vm`]: limits that follow from the memory and file descriptors of the VM.
+//! - [`memory`]: reserves memory for bodies, and evicts those that make the least progress.
+//! - [`clients`]: which client connections are accepted and closed.
 
 pub mod affinity;
 pub mod capacity;
+pub mod clients;
 pub mod departures;
 pub mod engine;
 pub mod home_demand;
+pub mod memory;
 pub mod plan;
 pub mod poison;
 pub mod region_shift;
@@ -29,6 +37,7 @@
 pub mod retry_after;
 pub mod round_robin;
 pub mod server;
+pub mod vm;
 pub mod warmup;
 
 pub use engine::{
