Keep a gateway daemon within the memory and descriptors of its VM

Cause: bodies were kept as frames of the HTTP library, which keep its read buffers (70 bytes for a chunk of one byte), and were joined into a second buffer. Bodies over the limit were read before they were rejected. Nothing bounded the sum of bodies, the unread responses or the connections. Statuses outside 200 to 599 of a server, for example 101 and 999, were passed on.

Change: bodies are copied once into segments, which are the body of each send, and reserve memory before they are read. Bodies that are declared over the limit get 413 before they are read, those without memory 503 with Retry-After, those without progress 408. At the limit of connections a new one replaces the idlest one. Responses that are not read are cut. Heads of servers may have 64 KiB, and a status outside 200 to 599 is no response. Bodies up to `max_body_bytes` are served, 16 MiB before.

--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,277 @@
+//! Open client connections, and the streams that record their progress.
+//!
+//! [`ClientTable`] decides which connections are accepted and closed; this module delivers its decisions to the tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase};
+use medlarstair_transport::clock::BootClock;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Sleep, sleep};
+
+/// Time for which a connection is read after a response to a request whose body was not read. The kernel resets a connection
+/// that is closed with unread data, which may discard the response.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of bytes that are read and discarded in that time.
+const LINGER_BYTES: usize = 4 << 20;
+
+/// Buffer size in bytes for discarded data.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
+/// Why a connection is closed at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CutCause {
+    /// The memory of its response is needed for others.
+    #[default]
+    Memory,
+    /// There are too many connections, and this one made the least progress.
+    ConnectionLimit,
+    /// The client does not read its response.
+    SlowDelivery,
+}
+
+impl CutCause {
+    /// Name of the limit for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "delivery-memory",
+            Self::ConnectionLimit => "connection-limit",
+            Self::SlowDelivery => "delivery-stalled",
+        }
+    }
+}
+
+/// Signals to the task of a connection.
+#[derive(Debug, Default)]
+struct Signals {
+    /// Notified when the connection must be closed at once.
+    cut: Rc<Notify>,
+    cause: Cell<CutCause>,
+    /// Whether the connection is read before it is closed.
+    lingers: Cell<bool>,
+}
+
+/// Open client connections of a daemon.
+#[derive(Debug)]
+pub struct Clients {
+    table: RefCell<ClientTable>,
+    signals: RefCell<BTreeMap<ConnectionId, Rc<Signals>>>,
+    clock: BootClock,
+}
+
+impl Clients {
+    /// Creates a table for at most `limit` connections.
+    pub fn new(limit: usize, clock: BootClock) -> Rc<Self> {
+        let table = RefCell::new(ClientTable::new(limit));
+        Rc::new(Self { table, signals: RefCell::default(), clock })
+    }
+
+    /// Number of open connections.
+    pub fn len(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Registers a new connection, for which another one may be closed. Returns `None` if it must be refused.
+    pub fn admit(self: &Rc<Self>) -> Option<Client> {
+        let admission = self.table.borrow_mut().admit(self.clock.now());
+        let (id, victim) = match admission {
+            Admission::Accepted(id) => (id, None),
+            Admission::Replaced(id, victim) => (id, Some(victim)),
+            Admission::Refused => return None,
+        };
+        if let Some(victim) = victim {
+            self.cut(victim, CutCause::ConnectionLimit);
+        }
+        let signals = Rc::new(Signals::default());
+        self.signals.borrow_mut().insert(id, Rc::clone(&signals));
+        Some(Client { clients: Rc::clone(self), id, signals })
+    }
+
+    /// Closes the connections whose clients do not read their responses.
+    pub fn cut_stalled(&self) {
+        let stalled = self.table.borrow_mut().take_stalled(self.clock.now());
+        for id in stalled {
+            self.cut(id, CutCause::SlowDelivery);
+        }
+    }
+
+    /// Records that a complete request has been received on a connection.
+    pub fn record_request(&self, id: ConnectionId) {
+        self.set_phase(id, ConnectionPhase::Running);
+    }
+
+    /// Makes the task of a connection read and discard data before it closes the connection.
+    pub fn linger(&self, id: ConnectionId) {
+        if let Some(signals) = self.signals.borrow().get(&id) {
+            signals.lingers.set(true);
+        }
+    }
+
+    fn set_phase(&self, id: ConnectionId, phase: ConnectionPhase) {
+        self.table.borrow_mut().set_phase(self.clock.now(), id, phase);
+    }
+
+    fn cut(&self, id: ConnectionId, cause: CutCause) {
+        if let Some(signals) = self.signals.borrow().get(&id) {
+            signals.cause.set(cause);
+            signals.cut.notify_one();
+        }
+    }
+}
+
+/// An open client connection. It counts as closed when this is dropped.
+#[derive(Debug)]
+pub struct Client {
+    clients: Rc<Clients>,
+    id: ConnectionId,
+    signals: Rc<Signals>,
+}
+
+impl Client {
+    /// Identity of the connection.
+    pub fn id(&self) -> ConnectionId {
+        self.id
+    }
+
+    /// Completes when the connection must be closed at once.
+    pub async fn cut(&self) -> CutCause {
+        self.signals.cut.notified().await;
+        self.signals.cause.get()
+    }
+
+    /// Notified when the connection must be closed at once.
+    pub fn cut_signal(&self) -> Rc<Notify> {
+        Rc::clone(&self.signals.cut)
+    }
+
+    /// Records that the delivery of a response begins.
+    pub fn record_delivery(&self) {
+        self.clients.set_phase(self.id, ConnectionPhase::Delivering);
+    }
+
+    /// Records that a response has been delivered.
+    pub fn record_delivered(&self) {
+        self.clients.set_phase(self.id, ConnectionPhase::Receiving);
+    }
+
+    fn record_written(&self, bytes: usize) {
+        self.clients.table.borrow_mut().record_written(self.clients.clock.now(), self.id, bytes);
+    }
+
+    fn record_read(&self) {
+        self.clients.table.borrow_mut().record_read(self.clients.clock.now(), self.id);
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.clients.signals.borrow_mut().remove(&self.id);
+        self.clients.table.borrow_mut().remove(self.id);
+    }
+}
+
+/// Progress of the reading that precedes the end of a connection.
+#[derive(Debug)]
+struct Linger {
+    ends: Pin<Box<Sleep>>,
+    left: usize,
+}
+
+/// The stream of a client connection, which records its progress.
+#[derive(Debug)]
+pub struct ClientStream {
+    stream: TcpStream,
+    client: Rc<Client>,
+    linger: Option<Linger>,
+}
+
+impl ClientStream {
+    /// Wraps the stream of a connection.
+    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+        Self { stream, client, linger: None }
+    }
+
+    /// Reads and discards data until the client closes the connection, or a limit is reached.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let linger = self
+            .linger
+            .get_or_insert_with(|| Linger { ends: Box::pin(sleep(LINGER_TIME)), left: LINGER_BYTES });
+        let mut scratch = [0; DISCARD_BUFFER_BYTES];
+        while linger.left > 0 && linger.ends.as_mut().poll(cx).is_pending() {
+            let mut buf = ReadBuf::new(&mut scratch);
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {
+                    linger.left = linger.left.saturating_sub(buf.filled().len());
+                }
+                Ok(()) | Err(_) => break,
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.client.record_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let n = ready!(Pin::new(&mut self.stream).poll_write(cx, data))?;
+        self.client.record_written(n);
+        Poll::Ready(Ok(n))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let n = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, data))?;
+        self.client.record_written(n);
+        Poll::Ready(Ok(n))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        }
+        if self.client.signals.lingers.get() {
+            ready!(self.poll_discard(cx));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,7 @@
 use medlarstair_state::steering::capacity::Capacity;
 use medlarstair_state::steering::engine::RoundTrips;
 use medlarstair_state::steering::retries::RetryLimits;
+use medlarstair_state::steering::vm::{Megabytes, VmResources};
 
 use crate::eventlog::LogLimits;
 
@@ -44,6 +45,8 @@
     /// Requests per second that the daemon's VM can forward, estimated from its CPU share and link speed. A default if these
     /// are not set.
     pub capacity: Capacity,
+    /// Memory and file descriptors of the daemon's VM.
+    pub vm: VmResources,
     /// Address of the platform's key-value service.
     pub store_address: SocketAddr,
     /// Grace period of a shutdown: the process must exit within it after the termination signal.
@@ -145,6 +148,7 @@
     let directory = r.optional("listen", "directory");
     let metrics = r.optional("listen", "metrics");
     let capacity = read_capacity(r);
+    let vm = read_vm_resources(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
     let config_apply = read_change_delay(r, "config_apply");
@@ -171,6 +175,7 @@
         directory_address: directory,
         metrics_address: metrics,
         capacity,
+        vm,
         store_address: store?,
         grace_period: grace?.0,
         max_change_delay: [config_apply, drain]
@@ -224,6 +229,24 @@
     }
 }
 
+/// Reads the memory and the file descriptors of the VM. An empty value counts as absent.
+fn read_vm_resources(r: &mut IniReader<'_>) -> VmResources {
+    let mut vm = VmResources::default();
+    if r.raw_value("vm", "memory_mb").is_some_and(|text| !text.is_empty()) {
+        vm.memory = r.optional::<Megabytes>("vm", "memory_mb").unwrap_or(vm.memory);
+    }
+    if r.raw_value("vm", "max_fds").is_some_and(|text| !text.is_empty()) {
+        vm.max_fds = r.optional("vm", "max_fds").unwrap_or(vm.max_fds);
+    }
+    if vm.memory < VmResources::MIN_MEMORY {
+        r.add_error("vm", "memory_mb", format!("must be at least {}", VmResources::MIN_MEMORY.0));
+    }
+    if vm.max_fds < VmResources::MIN_FDS {
+        r.add_error("vm", "max_fds", format!("must be at least {}", VmResources::MIN_FDS));
+    }
+    vm
+}
+
 /// Reads the region of each failure domain.
 fn read_domains(r: &mut IniReader<'_>) -> BTreeMap<Domain, Region> {
     let mut domains = BTreeMap::new();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -64,6 +64,8 @@
         self.shared.steering.borrow_mut().tick(now);
         self.shared.pool.borrow_mut().expire(now);
         self.shared.deliver_decisions();
+        self.shared.clients.cut_stalled();
+        self.shared.record_held();
         probe::start_due(&self.shared);
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,30 +6,34 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use medlarstair_state::id::Backend;
 use medlarstair_state::steering::affinity::ObjectId;
 use medlarstair_state::steering::engine::Reason;
+use medlarstair_state::steering::memory::HolderKind;
 use medlarstair_state::steering::plan::{Plan, RetrySafety, Route};
 use medlarstair_state::steering::poison::Fingerprint;
 use medlarstair_state::steering::{Call, Decision, QueueTicket, Refusal, SelectedBackend, SendOutcome};
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::hop::is_hop_by_hop;
-use medlarstair_transport::http1::{BufferedResponse, ClientConnection, ExchangeError};
+use medlarstair_transport::http1::ExchangeError;
 use rapidhash::v3::rapidhash_v3;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::adapter::{Adapter, PauseRequest, RequestMetadata, ResponseMetadata};
+use crate::body::{self, BodyError, RequestBody, ResponseBody, Segments};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
+use crate::memory::Holding;
 use crate::notices;
+use crate::pool::ServerConnection;
 use crate::shared::Shared;
+use crate::upload::{self, Upload};
 
 /// Timeout for opening a connection to a backend server. It allows two round trips between the most distant regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,8 +41,11 @@
 /// Maximum size of a response body in bytes. A larger response is treated as invalid.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Maximum size of a request body in bytes, even if the configuration allows more, since bodies are buffered in memory.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Time without a byte of a response body after which the server counts as silent.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Timeout for receiving the body of a request that has no deadline.
+const DEFAULT_UPLOAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// `Retry-After` delay of a refusal for which the steering logic gives no delay, for example while no configuration is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -51,16 +58,23 @@
     shared: &'a Rc<Shared<A>>,
     head: &'a Parts,
     metadata: RequestMetadata,
-    body: Bytes,
+    body: Upload,
     call: Call,
     /// Whether a server may have run the request, so that the client must not be told that it was not run.
     may_have_run: bool,
 }
 
+/// A response that was received completely. Its memory is released on drop.
+struct HeldResponse {
+    head: response::Parts,
+    body: Segments,
+    holding: Option<Holding>,
+}
+
 /// Result of sending a request to a backend server once.
 enum SendResult {
     /// The server responded.
-    Response(Box<BufferedResponse>, ResponseMetadata),
+    Response(Box<HeldResponse>, ResponseMetadata),
     /// The server did not run the request.
     NotRun(SendOutcome),
     /// The server may have run the request, but there is no valid response.
@@ -68,7 +82,7 @@
 }
 
 /// Forwards a client request and returns the response to the client.
-pub async fn handle<A: Adapter>(shared: &Rc<Shared<A>>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn handle<A: Adapter>(shared: &Rc<Shared<A>>, req: Request<Incoming>) -> Response<ResponseBody> {
     let arrived = shared.now();
     let (head, body) = req.into_parts();
     let Some(plan) = shared.steering.borrow().plan().cloned() else {
@@ -81,16 +95,15 @@
         }
         return empty_response(StatusCode::NOT_FOUND);
     };
-    let body_max = plan.limits.max_body_bytes.min(MAX_BODY_BYTES);
-    let body = match Limited::new(body, body_max).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        Err(_) => return empty_response(StatusCode::BAD_REQUEST),
-    };
     let metadata = shared.adapter.parse_request(&head.headers);
-    let (object, fingerprint) = object_and_fingerprint(&route, &head, &metadata, &body);
+    let time_for_body =
+        metadata.timeout.into_iter().chain(route.timeout).min().unwrap_or(DEFAULT_UPLOAD_TIMEOUT);
+    let received = upload::receive(shared, &head, body, plan.limits.max_body_bytes, time_for_body).await;
+    let body = match received {
+        Ok(body) => body,
+        Err(rejection) => return rejection,
+    };
+    let (object, fingerprint) = object_and_fingerprint(&route, &head, &metadata, &body.segments);
     let started =
         shared.steering.borrow_mut().start_request(arrived, &route, object, fingerprint, metadata.timeout);
     let Some(mut call) = started else {
@@ -123,7 +136,7 @@
     route: &Route,
     head: &Parts,
     metadata: &RequestMetadata,
-    body: &Bytes,
+    body: &Segments,
 ) -> (ObjectId, Fingerprint) {
     let attempt = metadata.attempt_id.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
     // The state that a server keeps for an object helps requests of one route only, so objects are distinguished by route.
@@ -136,7 +149,7 @@
         // Otherwise the object is the attempt, which differs between copies of a request.
         text.extend_from_slice(&object.0.to_le_bytes());
     }
-    (object, Fingerprint(rapidhash_v3(&text) ^ rapidhash_v3(body)))
+    (object, Fingerprint(rapidhash_v3(&text) ^ body.hash()))
 }
 
 /// Removes a request from the queue when it is dropped, also if the client disconnects. A decision to send that was not
@@ -178,8 +191,8 @@
 impl<A: Adapter> Forward<'_, A> {
     /// Sends the request until it has a response or may not be retried. Returns the response to the client and the outcome
     /// for log and metrics.
-    async fn run(&mut self) -> (Response<Full<Bytes>>, &'static str) {
-        let mut failed_response: Option<Box<BufferedResponse>> = None;
+    async fn run(&mut self) -> (Response<ResponseBody>, &'static str) {
+        let mut failed_response: Option<Box<HeldResponse>> = None;
         loop {
             let choice = match self.select_backend().await {
                 Ok(choice) => choice,
@@ -200,7 +213,9 @@
                 SendResult::NotRun(_) => {}
                 SendResult::Unknown(outcome) => {
                     self.may_have_run = true;
-                    if !self.may_retry() || outcome == SendOutcome::TimedOut {
+                    // After a lack of memory, another response would not fit either.
+                    let is_final = matches!(outcome, SendOutcome::TimedOut | SendOutcome::Cancelled);
+                    if !self.may_retry() || is_final {
                         return self.respond_unknown(outcome);
                     }
                 }
@@ -350,28 +365,24 @@
     }
 
     /// Opens a connection to a backend server. `None` if it fails or times out.
-    async fn connect(&self, choice: &SelectedBackend) -> Option<ClientConnection> {
+    async fn connect(&self, choice: &SelectedBackend) -> Option<ServerConnection> {
         let shared = &**self.shared;
         let limit = CONNECT_TIMEOUT.min(self.call.deadline.since(shared.now()));
         shared.metrics.connections.with_label_values(&[self.call.service.as_str()]).inc();
-        ClientConnection::open(choice.address, limit).await.ok()
+        ServerConnection::open(choice.address, limit).await.ok()
     }
 
     /// Sends the request over a connection and interprets the response. The connection is returned to the pool unless the
     /// response is invalid.
-    async fn exchange_on(&self, mut connection: ClientConnection, choice: &SelectedBackend) -> SendResult {
+    async fn exchange_on(&self, mut connection: ServerConnection, choice: &SelectedBackend) -> SendResult {
         let shared = &**self.shared;
         let left = self.call.deadline.since(shared.now());
         let Some(req) = self.backend_request(&choice.backend, left) else {
             return SendResult::NotRun(SendOutcome::NotConnected);
         };
-        let response = match timeout(left, connection.exchange(req, MAX_RESPONSE_BYTES)).await {
+        let response = match timeout(left, self.receive_response(&mut connection, req, choice)).await {
             Ok(Ok(response)) => response,
-            Ok(Err(ExchangeError::Unsent)) => return SendResult::NotRun(SendOutcome::NotConnected),
-            Ok(Err(ExchangeError::NoAnswer { .. })) => {
-                return SendResult::Unknown(SendOutcome::ConnectionLost);
-            }
-            Ok(Err(ExchangeError::Cut { .. })) => return SendResult::Unknown(SendOutcome::InvalidResponse),
+            Ok(Err(failed)) => return failed,
             Err(_) => return SendResult::Unknown(SendOutcome::TimedOut),
         };
         let metadata = shared.adapter.parse_response(response.head.status, &response.head.headers);
@@ -384,9 +395,61 @@
         SendResult::Response(Box::new(response), metadata)
     }
 
+    /// Sends the request over a connection and receives the complete response. Returns the result of the send if there is
+    /// no valid one.
+    async fn receive_response(
+        &self,
+        connection: &mut ServerConnection,
+        req: Request<RequestBody>,
+        choice: &SelectedBackend,
+    ) -> Result<HeldResponse, SendResult> {
+        let (head, body) = match connection.send(req).await {
+            Ok(res) => res.into_parts(),
+            Err(ExchangeError::Unsent) => return Err(SendResult::NotRun(SendOutcome::NotConnected)),
+            Err(_) => return Err(SendResult::Unknown(SendOutcome::ConnectionLost)),
+        };
+        if !is_final_status(head.status) {
+            self.log_cut_response(choice, "status", &head.status);
+            return Err(SendResult::Unknown(SendOutcome::InvalidResponse));
+        }
+        let (body, holding) = if body.is_end_stream() {
+            (Segments::default(), None)
+        } else {
+            let holding = self.shared.memory.open(HolderKind::ServerResponse);
+            let body = body::read(body, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT, &holding).await;
+            (body.map_err(|e| self.cut_response(choice, &e))?, Some(holding))
+        };
+        connection.complete(&head);
+        Ok(HeldResponse { head, body, holding })
+    }
+
+    /// Result of a send whose response body was not received completely.
+    fn cut_response(&self, choice: &SelectedBackend, e: &BodyError) -> SendResult {
+        let (limit, outcome) = match e {
+            BodyError::TooLarge => ("response-size", SendOutcome::InvalidResponse),
+            BodyError::Stalled => ("response-stalled", SendOutcome::TimedOut),
+            // Not the fault of the server.
+            BodyError::OutOfMemory(_) | BodyError::Evicted => ("response-memory", SendOutcome::Cancelled),
+            BodyError::Connection(_) => return SendResult::Unknown(SendOutcome::InvalidResponse),
+        };
+        self.log_cut_response(choice, limit, e);
+        SendResult::Unknown(outcome)
+    }
+
+    /// Counts and logs a response that a limit cut off.
+    fn log_cut_response(&self, choice: &SelectedBackend, limit: &str, cause: &impl std::fmt::Display) {
+        let shared = self.shared;
+        shared.metrics.limits.with_label_values(&[limit]).inc();
+        if let Some(log) = shared.events.admit(shared.now(), EventCode(581)) {
+            slog::warn!(log, "response of backend server cut off"; "code" => 581,
+                "request" => self.request_id(), "backend" => %choice.backend, "limit" => limit, "cause" => %cause,
+                "held" => shared.memory.used());
+        }
+    }
+
     /// Creates the request to a backend server. Returns `None` if the client's URI has no valid path.
-    fn backend_request(&self, backend: &Backend, left: Duration) -> Option<Request<Full<Bytes>>> {
-        let mut req = Request::new(Full::new(self.body.clone()));
+    fn backend_request(&self, backend: &Backend, left: Duration) -> Option<Request<RequestBody>> {
+        let mut req = Request::new(RequestBody::from(self.body.segments.clone()));
         *req.method_mut() = self.head.method.clone();
         let path = self.head.uri.path_and_query()?;
         *req.uri_mut() = path.as_str().parse().ok()?;
@@ -400,8 +463,8 @@
     fn respond_unsent(
         &self,
         refusal: Refusal,
-        failed_response: Option<Box<BufferedResponse>>,
-    ) -> (Response<Full<Bytes>>, &'static str) {
+        failed_response: Option<Box<HeldResponse>>,
+    ) -> (Response<ResponseBody>, &'static str) {
         if let Some(response) = failed_response {
             return self.pass_on_response(*response);
         }
@@ -418,7 +481,7 @@
     }
 
     /// Creates the response to a request that may have run but has no valid response.
-    fn respond_unknown(&self, outcome: SendOutcome) -> (Response<Full<Bytes>>, &'static str) {
+    fn respond_unknown(&self, outcome: SendOutcome) -> (Response<ResponseBody>, &'static str) {
         match outcome {
             SendOutcome::TimedOut => (empty_response(StatusCode::GATEWAY_TIMEOUT), "timeout"),
             _ => (empty_response(StatusCode::BAD_GATEWAY), "failed"),
@@ -427,22 +490,27 @@
 
     /// Creates the response to the client from that of a backend server, and returns it with the outcome for log and
     /// metrics.
-    fn pass_on_response(&self, response: BufferedResponse) -> (Response<Full<Bytes>>, &'static str) {
+    fn pass_on_response(&self, response: HeldResponse) -> (Response<ResponseBody>, &'static str) {
         let code = response.head.status;
         let promises_not_run = matches!(code.as_u16(), 408 | 421 | 429 | 503);
         if promises_not_run && !self.may_retry() {
             // The server may have run the request, but clients take this status as a promise that it was not run.
             return (empty_response(StatusCode::BAD_GATEWAY), "failed");
         }
-        let mut res = Response::new(Full::new(response.body));
+        let mut res = Response::new(ResponseBody::new(response.body, response.holding));
         *res.status_mut() = code;
         *res.headers_mut() = end_to_end_headers(&response.head.headers);
         (res, if code.is_server_error() { "failed" } else { "answered" })
     }
 }
 
+/// Whether a status may end an exchange. Faulty servers send others, for example 000 or 999.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Creates a response that promises that the request was not run.
-fn refusal_response(refusal: Refusal) -> Response<Full<Bytes>> {
+pub(crate) fn refusal_response(refusal: Refusal) -> Response<ResponseBody> {
     let mut res = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.3}", refusal.retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -8,8 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,6 +20,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::adapter::Adapter;
+use crate::body::ResponseBody;
+use crate::clients::{Client, ClientStream};
 use crate::control;
 use crate::eventlog::EventCode;
 use crate::forward;
@@ -91,13 +91,22 @@
     }
 }
 
-/// Serves a connection in a task of its own. A client connection counts as open from now on.
+/// Serves a connection in a task of its own. A client connection counts as open from now on. The connection is refused if
+/// there are too many and none of the others can be closed.
 fn spawn_connection<A: Adapter>(shared: &Rc<Shared<A>>, stream: TcpStream, role: ListenerRole) {
+    let Some(client) = shared.clients.admit() else {
+        shared.metrics.limits.with_label_values(&["connection-refused"]).inc();
+        if let Some(log) = shared.events.admit(shared.now(), EventCode(582)) {
+            slog::warn!(log, "connection refused"; "code" => 582, "connections" => shared.clients.len());
+        }
+        return;
+    };
+    let client = Rc::new(client);
     let guard = (role == ListenerRole::Clients).then(|| ConnectionGuard::new(shared));
     let shared = Rc::clone(shared);
     actix_rt::spawn(async move {
         let _guard = guard;
-        if let Err(e) = serve_connection(&shared, stream, role).await {
+        if let Err(e) = serve_connection(&shared, stream, &client, role).await {
             log_connection_error(&shared, &e);
         }
     });
@@ -130,13 +139,19 @@
 async fn serve_connection<A: Adapter>(
     shared: &Rc<Shared<A>>,
     stream: TcpStream,
+    client: &Rc<Client>,
     role: ListenerRole,
 ) -> io::Result<()> {
     enable_dead_peer_detection(&stream)?;
     let limits = shared.steering.borrow().plan().map_or_else(ClientLimits::default, |p| p.limits);
-    let service = service_fn(|req: Request<Incoming>| {
-        let shared = Rc::clone(shared);
-        async move { Ok::<_, Infallible>(respond(&shared, req, role).await) }
+    let service = service_fn(|mut req: Request<Incoming>| {
+        let (shared, client) = (Rc::clone(shared), Rc::clone(client));
+        req.extensions_mut().insert(client.id());
+        async move {
+            let mut res = respond(&shared, req, role).await;
+            res.body_mut().deliver_to(&client);
+            Ok::<_, Infallible>(res)
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -144,11 +159,19 @@
         // A connection that is opened during a graceful shutdown serves a single request.
         .keep_alive(shared.phase() == Phase::Serving)
         .max_buf_size((2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ClientStream::new(stream, Rc::clone(client))), service);
     let mut conn = pin!(conn);
     loop {
         tokio::select! {
             ended = conn.as_mut() => return ended.map_err(io::Error::other),
+            cause = client.cut() => {
+                shared.metrics.limits.with_label_values(&[cause.name()]).inc();
+                if let Some(log) = shared.events.admit(shared.now(), EventCode(583)) {
+                    slog::info!(log, "connection closed by a limit"; "code" => 583, "limit" => cause.name(),
+                        "connections" => shared.clients.len(), "held" => shared.memory.used());
+                }
+                return Ok(());
+            }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
         }
     }
@@ -159,12 +182,12 @@
     shared: &Rc<Shared<A>>,
     req: Request<Incoming>,
     role: ListenerRole,
-) -> Response<Full<Bytes>> {
+) -> Response<ResponseBody> {
     match role {
         ListenerRole::Clients => forward::handle(shared, req).await,
         ListenerRole::Control => control::respond(shared, &req),
         ListenerRole::Metrics => match shared.metrics.text() {
-            Ok(text) => Response::new(Full::new(text.into())),
+            Ok(text) => Response::new(bytes::Bytes::from(text).into()),
             Err(e) => {
                 slog::error!(shared.events.logger(), "metrics cannot be written"; "code" => 571, "cause" => %e);
                 control::empty_response(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! disconnected, so abandoned work could not be cancelled, and `awc` returns truncated responses as complete ones.
 
 pub mod adapter;
+pub mod body;
+pub mod clients;
 pub mod config;
 pub mod control;
 pub mod daemon;
@@ -16,6 +18,7 @@
 pub mod forward;
 pub mod ingress;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod notices;
 pub mod pool;
@@ -23,6 +26,7 @@
 pub mod shared;
 pub mod store_outage;
 pub mod store_watcher;
+pub mod upload;
 
 pub use config::Config;
 pub use daemon::run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a daemon, exported in the Prometheus text format.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
@@ -20,6 +22,10 @@
     pub connections: IntCounterVec,
     /// Announcements of backend servers in their responses, by kind.
     pub notices: IntCounterVec,
+    /// Times that a limit on resources took effect, by limit.
+    pub limits: IntCounterVec,
+    /// Resources that are in use, by resource.
+    pub held: IntGaugeVec,
 }
 
 impl Metrics {
@@ -41,11 +47,14 @@
             counter("medlarstair_connections_total", "Connections opened to backend servers", &["service"])?;
         let notices =
             counter("medlarstair_server_notices_total", "Announcements of backend servers", &["kind"])?;
+        let limits = counter("medlarstair_limits_total", "Limits on resources that took effect", &["limit"])?;
+        let held = IntGaugeVec::new(Opts::new("medlarstair_held", "Resources in use"), &["resource"])?;
+        registry.register(Box::new(held.clone()))?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
         registry.register(Box::new(latency.clone()))?;
-        Ok(Self { registry, requests, latency, sends, connections, notices })
+        Ok(Self { registry, requests, latency, sends, connections, notices, limits, held })
     }
 
     /// Encodes all metrics in the text format.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,6 +12,8 @@
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::http1::ClientConnection;
 
+use crate::body::RequestBody;
+
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 8;
 
@@ -22,22 +24,30 @@
 /// Margin by which the idle timeout of a connection is shorter than the keep-alive timeout that its server announced.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Connection to a backend server.
+pub type ServerConnection = ClientConnection<RequestBody>;
+
 /// A connection that carries no request.
 struct IdleConnection {
-    connection: ClientConnection,
+    connection: ServerConnection,
     /// Time from which the connection is no longer reused.
     expires_at: Timestamp,
 }
 
 /// Idle connections, grouped by server.
-#[derive(Default)]
 pub struct Pool {
+    max_idle: usize,
     idle: BTreeMap<Backend, Vec<IdleConnection>>,
 }
 
 impl Pool {
+    /// Creates a pool of at most `max_idle` connections to all servers together.
+    pub fn new(max_idle: usize) -> Self {
+        Self { max_idle, idle: BTreeMap::new() }
+    }
+
     /// Takes the most recently used idle connection to a server. Returns `None` if there is no usable one.
-    pub fn take(&mut self, now: Timestamp, backend: &Backend) -> Option<ClientConnection> {
+    pub fn take(&mut self, now: Timestamp, backend: &Backend) -> Option<ServerConnection> {
         let list = self.idle.get_mut(backend)?;
         while let Some(idle) = list.pop() {
             if now < idle.expires_at && idle.connection.is_usable() {
@@ -48,14 +58,17 @@
     }
 
     /// Adds a connection. `headers` are those of the last response on it, which may announce a keep-alive timeout. The
-    /// oldest connection to the server is closed if there are too many.
+    /// oldest connection to the server is closed if there are too many, and the added one if there are too many in all.
     pub fn put(
         &mut self,
         now: Timestamp,
         backend: &Backend,
-        connection: ClientConnection,
+        connection: ServerConnection,
         headers: &HeaderMap,
     ) {
+        if self.idle.values().map(Vec::len).sum::<usize>() >= self.max_idle {
+            return;
+        }
         let list = self.idle.entry(backend.clone()).or_default();
         if list.len() >= MAX_IDLE_PER_SERVER {
             list.remove(0);
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -6,15 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use medlarstair_state::steering::BackendEntry;
-use medlarstair_transport::http1::ClientConnection;
 use tokio::time::timeout;
 
 use crate::adapter::{Adapter, HealthReport};
+use crate::body::RequestBody;
 use crate::notices;
+use crate::pool::ServerConnection;
 use crate::shared::Shared;
 
 /// Timeout for a health check, including opening the connection.
@@ -49,9 +48,9 @@
         let steering = shared.steering.borrow();
         steering.plan()?.service(&server.service)?.health_path.clone()
     };
-    let mut connection = ClientConnection::open(server.address, PROBE_TIMEOUT).await.ok()?;
+    let mut connection = ServerConnection::open(server.address, PROBE_TIMEOUT).await.ok()?;
     let req = Request::get(&*path).header("host", server.address.to_string());
-    let req = req.body(Full::<Bytes>::default()).ok()?;
+    let req = req.body(RequestBody::default()).ok()?;
     let response = connection.exchange(req, MAX_BODY_BYTES).await.ok()?;
     let metadata = shared.adapter.parse_response(response.head.status, &response.head.headers);
     notices::record(shared, &server.id, &metadata, HEALTH_CHECK);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,15 +6,18 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use medlarstair_state::steering::vm::ResourceLimits;
 use medlarstair_state::steering::{Decision, QueueTicket, Steering};
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::BootClock;
 use tokio::sync::{Notify, oneshot};
 
 use crate::adapter::Adapter;
+use crate::clients::Clients;
 use crate::config::Config;
 use crate::eventlog::EventLog;
 use crate::membership::Members;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::store_outage::StoreOutage;
@@ -49,6 +52,10 @@
     pub members: RefCell<Members>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
+    /// Open connections of clients, on all listeners.
+    pub clients: Rc<Clients>,
+    /// Memory budget for bodies of requests and responses.
+    pub memory: Rc<Memory>,
     /// Outages of the key-value service that this daemon has observed.
     pub store_outage: RefCell<StoreOutage>,
     /// Metrics that the daemon exports.
@@ -67,16 +74,20 @@
     /// Creates the state of a daemon that is starting.
     pub fn new(cfg: Config, adapter: A, metrics: Metrics, events: EventLog) -> Rc<Self> {
         let steering = RefCell::new(Steering::new(cfg.steering()));
+        let limits = ResourceLimits::of_vm(cfg.vm);
+        let clock = BootClock::start();
         Rc::new(Self {
             adapter,
             steering,
             members: RefCell::new(Members::new(&cfg)),
-            pool: RefCell::new(Pool::default()),
+            pool: RefCell::new(Pool::new(limits.idle_connections)),
+            clients: Clients::new(limits.client_connections, clock),
+            memory: Memory::new(limits.body_bytes, clock),
             store_outage: RefCell::default(),
             metrics,
             events,
             shutdown_started: Notify::new(),
-            clock: BootClock::start(),
+            clock,
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             waiters: RefCell::new(BTreeMap::new()),
@@ -125,6 +136,13 @@
         self.open_connections.set(self.open_connections.get().saturating_sub(1));
     }
 
+    /// Writes the resources in use to the metrics.
+    pub fn record_held(&self) {
+        let set = |resource, value| self.metrics.held.with_label_values(&[resource]).set(value);
+        set("body-bytes", self.memory.used() as i64);
+        set("connections", self.clients.len() as i64);
+    }
+
     /// Registers a queued request and returns the channel on which its decision is delivered.
     pub fn add_waiter(&self, ticket: QueueTicket) -> oneshot::Receiver<Decision> {
         let (tx, rx) = oneshot::channel();
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -40,9 +40,26 @@
         ("[platform]\n", "[vm]\ncpu_share = 0.5\n[platform]\n", "[vm] link_mbps"),
         ("[platform]\n", "[vm]\ncpu_share = 0\nlink_mbps = 10\n[platform]\n", "[vm] cpu_share"),
         ("[platform]\n", "[vm]\nlink_mbps = fast\n[platform]\n", "[vm] link_mbps"),
+        ("[platform]\n", "[vm]\nmemory_mb = much\n[platform]\n", "[vm] memory_mb"),
+        ("[platform]\n", "[vm]\nmemory_mb = 39\n[platform]\n", "[vm] memory_mb"),
+        ("[platform]\n", "[vm]\nmax_fds = 100\n[platform]\n", "[vm] max_fds"),
         ("seq-a = seq", "Seq A = seq", "[domains] Seq A"),
     ] {
         let error = Config::parse(&VALID.replace(from, to)).expect_err(key).to_string();
         assert!(error.contains(key), "{key}: {error}");
     }
 }
+
+/// Guards against a daemon that does not start because a deployment gives no limit, and against limits that are ignored.
+#[test]
+fn limits_of_the_vm_have_defaults() {
+    for (settings, memory_mb, max_fds) in [
+        ("", 1_024, 16_384),
+        ("[vm]\nmemory_mb =\nmax_fds =\n", 1_024, 16_384),
+        ("[vm]\nmemory_mb = 112\nmax_fds = 2870\n", 112, 2_870),
+        ("[vm]\nmemory_mb = 360.5\n", 360, 16_384),
+    ] {
+        let vm = Config::parse(&format!("{VALID}{settings}")).unwrap().vm;
+        assert_eq!((vm.memory.0, vm.max_fds), (memory_mb, max_fds), "{settings}");
+    }
+}
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -14,9 +14,10 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::http::response::Parts;
-use hyper::{Request, header};
+use hyper::{Request, Response, header};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -34,6 +35,9 @@
 /// Number of unanswered keep-alive probes after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
 
+/// Maximum size in bytes of a response head, and of the buffer for a response. The head of a faulty server may be endless.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Error of an HTTP exchange: no complete response was received.
 #[derive(Debug, Display, Error)]
 pub enum ExchangeError {
@@ -63,22 +67,25 @@
     pub body: Bytes,
 }
 
-/// Connection to an HTTP/1.1 server. Must be used inside a Tokio runtime.
+/// Connection to an HTTP/1.1 server, for requests with bodies of type `B`. Must be used inside a Tokio runtime.
 #[derive(Debug)]
-pub struct ClientConnection {
-    sender: SendRequest<Full<Bytes>>,
+pub struct ClientConnection<B = Full<Bytes>> {
+    sender: SendRequest<B>,
     connection_task: JoinHandle<()>,
     /// Whether the connection cannot be used for another request.
     closing: bool,
 }
 
-impl Drop for ClientConnection {
+impl<B> Drop for ClientConnection<B> {
     fn drop(&mut self) {
         self.connection_task.abort();
     }
 }
 
-impl ClientConnection {
+impl<B> ClientConnection<B>
+where
+    B: Body<Data: Send, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + Send + 'static,
+{
     /// Opens a connection with dead peer detection.
     ///
     /// # Errors
@@ -89,7 +96,10 @@
         set_user_timeout(&stream)?;
         // No keep-alive probes: a connection that fails by them is not reset, which leaves its data to be delivered.
         stream.set_zero_linger()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let connection_task = tokio::spawn(async move {
             // An error is also returned by the exchange that it interrupts. An idle connection may end at any time.
             let _ = connection.await;
@@ -109,24 +119,39 @@
     /// [`ExchangeError`]; the connection cannot be used afterwards.
     pub async fn exchange(
         &mut self,
-        req: Request<Full<Bytes>>,
+        req: Request<B>,
         body_max: usize,
     ) -> Result<BufferedResponse, ExchangeError> {
-        // Cleared below on success, so it stays set if the exchange fails or its future is dropped.
+        let (head, body) = self.send(req).await?.into_parts();
+        let body = Limited::new(body, body_max).collect().await;
+        let body = body.map_err(|source| ExchangeError::Cut { source })?.to_bytes();
+        self.complete(&head);
+        Ok(BufferedResponse { head, body })
+    }
+
+    /// Sends a request and reads the head of the response. The caller reads the body, and then calls
+    /// [`complete`](Self::complete).
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`]; the connection cannot be used afterwards.
+    pub async fn send(&mut self, req: Request<B>) -> Result<Response<Incoming>, ExchangeError> {
+        // Cleared on completion, so it stays set if the exchange fails or its future is dropped.
         self.closing = true;
-        let res = self.sender.try_send_request(req).await.map_err(|mut e| match e.take_message() {
+        self.sender.try_send_request(req).await.map_err(|mut e| match e.take_message() {
             Some(_) => ExchangeError::Unsent,
             None => ExchangeError::NoAnswer { source: e.into_error() },
-        })?;
-        let (head, body) = res.into_parts();
-        let body = Limited::new(body, body_max).collect().await;
-        let body = body.map_err(|source| ExchangeError::Cut { source })?.to_bytes();
+        })
+    }
+
+    /// Records that the body of the response with this head has been read completely. The connection can be used again
+    /// unless the server closes it.
+    pub fn complete(&mut self, head: &Parts) {
         let server_closes =
             head.headers.get(header::CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         let has_framing = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         self.closing = server_closes || !has_framing;
-        Ok(BufferedResponse { head, body })
     }
 }
 
