--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a daemon, exported in the Prometheus text format.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
@@ -32,6 +34,10 @@
     pub store_calls: IntCounterVec,
     /// Changes of the era of the key-value service, by direction. Responses of an earlier era are ignored.
     pub store_eras: IntCounterVec,
+    /// Times that a limit on resources took effect, by limit.
+    pub limits: IntCounterVec,
+    /// Resources that are in use, by resource.
+    pub held: IntGaugeVec,
 }
 
 impl Metrics {
@@ -65,6 +71,9 @@
             counter("medlarstair_peer_messages_total", "Messages between daemons", &["kind", "direction"])?;
         let peer_bytes =
             counter("medlarstair_peer_bytes_total", "Bytes of these messages", &["kind", "direction"])?;
+        let limits = counter("medlarstair_limits_total", "Limits on resources that took effect", &["limit"])?;
+        let held = IntGaugeVec::new(Opts::new("medlarstair_held", "Resources in use"), &["resource"])?;
+        registry.register(Box::new(held.clone()))?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
@@ -82,6 +91,8 @@
             account_faults,
             store_calls,
             store_eras,
+            limits,
+            held,
         })
     }
 
