--- a/crates/state/src/steering/quota/engine.rs
+++ b/crates/state/src/steering/quota/engine.rs
@@ -19,7 +19,7 @@
 const START_DURATION: Duration = Duration::from_secs(2);
 
 /// Time after the last renewal of its entry at which a daemon must assume that it is no longer listed.
-const REGISTRATION_TTL: Duration = Duration::from_millis(4_500);
+const REGISTRATION_TTL: Duration = Duration::from_secs(3);
 
 /// Time after which the send time of a report is forgotten. A later grant is not used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
@@ -366,7 +366,7 @@
             let terms = Terms {
                 quota: *quota,
                 leased_fraction: self.fleet.leased_fraction(),
-                floor: self.fleet.floor(report.from, demand.account, quota, &self.limits),
+                floor: self.fleet.floor(report.from, demand.account, quota, &self.limits).share,
                 lease_duration,
                 tolerance: self.limits.tolerance(quota),
             };
--- a/crates/state/src/steering/quota/fleet.rs
+++ b/crates/state/src/steering/quota/fleet.rs
@@ -38,6 +38,10 @@
 /// Part of the tolerance of a quota for the floors, each of which allows at least one request at once.
 const FLOOR_TOLERANCE_FRACTION: f64 = 0.7;
 
+/// Part of the fixed number of requests in the tolerance that the floors allow at once. The relative part of the tolerance
+/// is left for lists of daemons that differ.
+const ALLOWANCE_FRACTION: f64 = 0.6;
+
 /// Number of daemons that is assumed after the start of a daemon, when others that start may not be listed yet.
 const MIN_DAEMONS_AT_START: usize = 16;
 
@@ -52,6 +56,16 @@
     pub reachable: bool,
 }
 
+/// What a daemon may use of a quota without a lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Floor {
+    /// Factor on the quota.
+    pub share: f64,
+    /// Number of requests at once in addition to the share of the burst, from the tolerance of the quota. Without it, a
+    /// daemon that gets a few requests per second would reject those that happen to arrive together.
+    pub allowance: f64,
+}
+
 /// The listed daemons and what follows from their number.
 #[derive(Debug, Clone, Default)]
 pub struct QuotaFleet {
@@ -127,26 +141,34 @@
         self.lease_duration() + VIEW_DELAY
     }
 
-    /// The floor of a daemon, as a factor on the quota. Zero for a daemon that has none.
+    /// The floor of a daemon. It is empty for a daemon that has none.
     ///
     /// Each floor allows at least one request at once. If the burst of the quota is too small for one at each daemon, only
     /// as many daemons have a floor as the tolerance allows.
-    pub fn floor(&self, daemon: DaemonKey, account: AccountKey, quota: &Quota, limits: &QuotaLimits) -> f64 {
+    pub fn floor(
+        &self,
+        daemon: DaemonKey,
+        account: AccountKey,
+        quota: &Quota,
+        limits: &QuotaLimits,
+    ) -> Floor {
         let fraction = 1.0 - self.leased_fraction();
         let listed =
             if self.is_starting { self.advertised.max(MIN_DAEMONS_AT_START) } else { self.advertised.max(1) };
         let affordable = FLOOR_TOLERANCE_FRACTION * limits.tolerance(quota) + fraction * quota.burst;
+        let allowance = ALLOWANCE_FRACTION * limits.slack;
         let found = self.daemons.binary_search_by_key(&daemon, |d| d.key);
         if !found.is_ok_and(|n| self.daemons[n].advertised) {
-            return 0.0;
+            return Floor::default();
         }
+        let part_of = |floors: f64| Floor { share: fraction / floors, allowance: allowance / floors };
         if affordable >= listed as f64 {
-            return fraction / listed as f64;
+            return part_of(listed as f64);
         }
         let floors = affordable as usize;
         let own = score(daemon.0, ObjectId(!account.0));
         let advertised = self.daemons.iter().filter(|d| d.advertised);
         let rank = advertised.filter(|d| score(d.key.0, ObjectId(!account.0)) > own).count();
-        if rank < floors { fraction / floors.max(1) as f64 } else { 0.0 }
+        if rank < floors { part_of(floors as f64) } else { Floor::default() }
     }
 }
--- a/crates/state/src/steering/quota/holder.rs
+++ b/crates/state/src/steering/quota/holder.rs
@@ -4,6 +4,7 @@
 
 use crate::steering::accounts::Quota;
 use crate::steering::quota::bucket::QuotaBucket;
+use crate::steering::quota::fleet::Floor;
 use crate::steering::quota::message::{Demand, Sequence};
 use crate::steering::quota::{AccountKey, DaemonKey, Share};
 use crate::steering::retry_after::RetryAfterSchedule;
@@ -50,8 +51,7 @@
 #[derive(Debug, Clone)]
 pub struct Holder {
     quota: Quota,
-    /// Floor as a factor on the quota.
-    floor: f64,
+    floor: Floor,
     lease: Option<Lease>,
     bucket: QuotaBucket,
     retry_schedule: RetryAfterSchedule,
@@ -66,7 +66,7 @@
 
 impl Holder {
     /// Creates an account without a lease, whose bucket was empty at `since`.
-    pub fn new(quota: Quota, floor: f64, since: Timestamp) -> Self {
+    pub fn new(quota: Quota, floor: Floor, since: Timestamp) -> Self {
         Self {
             quota,
             floor,
@@ -82,7 +82,7 @@
     }
 
     /// Changes the quota or the floor.
-    pub fn configure(&mut self, now: Timestamp, quota: Quota, floor: f64) {
+    pub fn configure(&mut self, now: Timestamp, quota: Quota, floor: Floor) {
         self.fill(now);
         self.quota = quota;
         self.floor = floor;
@@ -144,20 +144,21 @@
         if let Some(lease) = self.lease
             && lease.expires_at <= now
         {
-            self.fill_at(lease.expires_at, self.floor + lease.share.factor());
+            self.fill_at(lease.expires_at, self.floor.share + lease.share.factor());
             self.lease = None;
         }
         self.fill_at(now, self.share(now));
     }
 
     fn fill_at(&mut self, now: Timestamp, share: f64) {
-        let capacity = if share > 0.0 { (share * self.quota.burst).max(1.0) } else { 0.0 };
+        let burst = share * self.quota.burst + self.floor.allowance;
+        let capacity = if share > 0.0 { burst.max(1.0) } else { 0.0 };
         self.bucket.fill(now, share * self.quota.rate.0, capacity);
     }
 
     /// The share of the quota that this daemon may use, as a factor.
     pub fn share(&self, now: Timestamp) -> f64 {
-        self.floor + self.lease.filter(|l| l.expires_at > now).map_or(0.0, |l| l.share.factor())
+        self.floor.share + self.lease.filter(|l| l.expires_at > now).map_or(0.0, |l| l.share.factor())
     }
 
     /// Applies a leased share unless a later grant of the same coordinator is in effect. Returns whether it is so much smaller
@@ -193,7 +194,7 @@
     /// Whether the coordinator must know the demand: the floor does not suffice, or there is a lease to renew or return.
     pub fn needs_report(&self, now: Timestamp) -> bool {
         let demand = self.demand_at(now);
-        let fits_floor = demand < MIN_DEMAND || demand < MAX_FLOOR_USE * self.floor * self.quota.rate.0;
+        let fits_floor = demand < MIN_DEMAND || demand < MAX_FLOOR_USE * self.floor.share * self.quota.rate.0;
         !fits_floor || self.has_rejected || self.is_unconfirmed || self.lease.is_some_and(|l| l.share.0 > 0.0)
     }
 
