--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -38,6 +38,10 @@
 /// Weight of a load report in the average wait.
 const WAIT_SAMPLE_WEIGHT: f64 = 0.1;
 
+/// Time without load reports after which the wait counts as zero. Otherwise a threshold that rejects all requests would
+/// never fall, because only responses carry reports.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Time in which the threshold passes through the range of the values while the wait is far from its target.
 const THRESHOLD_RANGE_TIME: Duration = Duration::from_secs(16);
 
@@ -188,6 +192,8 @@
     /// Natural logarithms of the lowest and the highest value per slot-second of recent requests.
     ln_range: Option<(f64, f64)>,
     updated_at: Timestamp,
+    /// Time since the last load report, up to the last update.
+    silence: Duration,
 }
 
 impl ValueThreshold {
@@ -210,11 +216,16 @@
     /// Records the wait of a new request at a server, as a fraction of the latency objective.
     pub fn record_wait(&mut self, fraction: f64) {
         self.wait_fraction += (fraction - self.wait_fraction) * WAIT_SAMPLE_WEIGHT;
+        self.silence = Duration::ZERO;
     }
 
     /// Moves the threshold. Call periodically.
     pub fn update(&mut self, now: Timestamp) {
         let elapsed = now.since(std::mem::replace(&mut self.updated_at, now));
+        self.silence += elapsed;
+        if self.silence > REPORT_LIFETIME {
+            self.wait_fraction = 0.0;
+        }
         let error = (self.wait_fraction / TARGET_WAIT_FRACTION - 1.0).clamp(-1.0, 1.0);
         let step = error * elapsed.as_secs_f64() / THRESHOLD_RANGE_TIME.as_secs_f64();
         self.position = (self.position + step).clamp(0.0, 1.0);
--- a/crates/state/tests/steering_admission.rs
+++ b/crates/state/tests/steering_admission.rs
@@ -65,6 +65,23 @@
     assert_eq!(decide(&run(100, 300, 0.0), &cold), Verdict::Start);
 }
 
+/// Guards against a threshold that stays at its height because it rejects all requests: no response then reports a shorter
+/// wait.
+#[test]
+fn the_threshold_falls_without_reports() {
+    let mut threshold = ValueThreshold::default();
+    threshold.record_offer(1.0);
+    threshold.record_offer(4.0);
+    for at in 0..1_000 {
+        if at < 300 {
+            threshold.record_wait(1.0);
+        }
+        threshold.update(Timestamp::from_millis(at * 100));
+        assert!(at != 299 || threshold.get() > 3.9, "{threshold:?}");
+    }
+    assert_eq!(threshold.get(), 0.0);
+}
+
 /// Guards against a request type that is starved by one with a higher value per slot-second.
 #[test]
 fn a_starved_type_gets_a_lower_threshold() {
