Benchmark the end of a send with waiting requests

Cause: the benchmark reported a failed connection, after which no request waits for the server, so it measured an empty poll.

Change: each iteration ends a send, sends the request that waited for the server and queues a new one.

--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -1,5 +1,6 @@
 //! Benchmarks of the server selection and of the queue, by the number of backend servers.
 
+use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::rc::Rc;
 use std::time::Duration;
@@ -136,18 +137,19 @@
     group.finish();
 }
 
-/// Each iteration decides about one request and withdraws it from the queue, or ends one send and polls the queue.
+/// Each iteration decides about one request and withdraws it from the queue, ends one send and queues a new request, or
+/// checks the first request for each server.
 fn admission(c: &mut Criterion) {
     let mut group = c.benchmark_group("admission");
     for waiting in [100, 1_000, 10_000] {
         let mut steering = steering_with_objective(98, LONG_OBJECTIVE);
         let now = Timestamp::from_millis(1);
-        let (mut queued, mut sent) = (0, None);
-        while queued < waiting {
-            let call = call_of(&mut steering, now, queued % OBJECTS);
+        let (mut queued, mut sent) = (BTreeMap::new(), Vec::new());
+        while queued.len() < waiting {
+            let call = call_of(&mut steering, now, queued.len() as u64 % OBJECTS);
             match steering.decide(now, &call) {
-                Decision::Send(selected) => sent = Some((call, selected)),
-                Decision::Wait(_) => queued += 1,
+                Decision::Send(selected) => sent.push((call, selected)),
+                Decision::Wait(ticket) => drop(queued.insert(ticket, call)),
                 Decision::Refuse(refusal) => panic!("{refusal:?}"),
             }
         }
@@ -159,12 +161,22 @@
                 }
             });
         });
-        let (call, selected) = sent.expect("the first request is sent");
-        group.bench_function(BenchmarkId::new("poll", waiting), |b| {
+        group.bench_function(BenchmarkId::new("end", waiting), |b| {
             b.iter(|| {
-                // Outcomes of the same send free no further capacity, so that the number of waiting requests is constant.
-                steering.record_outcome(now, &call, &selected, SendOutcome::NotConnected);
-                black_box(steering.poll_queue(now))
+                let (call, selected) = sent.pop().expect("a send is in progress");
+                steering.record_outcome(now, &call, &selected, SendOutcome::Cancelled);
+                for (ticket, decision) in black_box(steering.poll_queue(now)) {
+                    let call = queued.remove(&ticket).expect("each ticket is returned once");
+                    if let Decision::Send(selected) = decision {
+                        sent.push((call, selected));
+                    }
+                }
+                let next = call_of(&mut steering, now, call.object.0 % OBJECTS);
+                match steering.decide(now, &next) {
+                    Decision::Send(selected) => sent.push((next, selected)),
+                    Decision::Wait(ticket) => drop(queued.insert(ticket, next)),
+                    Decision::Refuse(refusal) => panic!("{refusal:?}"),
+                }
             });
         });
         group.bench_function(BenchmarkId::new("tick", waiting), |b| {
