--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -78,6 +78,13 @@
     }
 
     /// Hash of the bytes. It does not depend on the segments.
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use medlarstair_gateway::body::Segments;
+    /// use rapidhash::v3::rapidhash_v3;
+    /// assert_eq!(Segments::from(Bytes::from_static(b"hello")).hash(), rapidhash_v3(b"hello"));
+    /// ```
     pub fn hash(&self) -> u64 {
         let mut hasher = RapidStreamHasherV3::new(&DEFAULT_RAPID_SECRETS);
         for segment in &*self.list {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -236,7 +236,8 @@
         vm.memory = r.optional::<Megabytes>("vm", "memory_mb").unwrap_or(vm.memory);
     }
     if r.raw_value("vm", "max_fds").is_some_and(|text| !text.is_empty()) {
-        vm.max_fds = r.optional("vm", "max_fds").unwrap_or(vm.max_fds);
+        // A platform may render numbers with a fraction.
+        vm.max_fds = r.optional::<f64>("vm", "max_fds").map_or(vm.max_fds, |fds| fds as usize);
     }
     if vm.memory < VmResources::MIN_MEMORY {
         r.add_error("vm", "memory_mb", format!("must be at least {}", VmResources::MIN_MEMORY.0));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -417,7 +417,10 @@
         } else {
             let holding = self.shared.memory.open(HolderKind::ServerResponse);
             let body = body::read(body, MAX_RESPONSE_BYTES, RESPONSE_STALL_TIMEOUT, &holding).await;
-            (body.map_err(|e| self.cut_response(choice, &e))?, Some(holding))
+            let body = body.map_err(|e| self.cut_response(choice, &e))?;
+            // It may wait for the end of a retry, and cannot be released before.
+            holding.set_kind(HolderKind::Complete);
+            (body, Some(holding))
         };
         connection.complete(&head);
         Ok(HeldResponse { head, body, holding })
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -116,7 +116,7 @@
     let holding = shared.memory.open(HolderKind::Upload);
     let read = timeout(limit, body::read(body, max, STALL_TIMEOUT, &holding));
     let segments = read.await.map_err(|_| UploadError::Deadline)??;
-    holding.set_kind(HolderKind::Request);
+    holding.set_kind(HolderKind::Complete);
     Ok(Upload { segments, _holding: Some(holding) })
 }
 
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -57,7 +57,7 @@
         ("", 1_024, 16_384),
         ("[vm]\nmemory_mb =\nmax_fds =\n", 1_024, 16_384),
         ("[vm]\nmemory_mb = 112\nmax_fds = 2870\n", 112, 2_870),
-        ("[vm]\nmemory_mb = 360.5\n", 360, 16_384),
+        ("[vm]\nmemory_mb = 360.5\nmax_fds = 8192.0\n", 360, 8_192),
     ] {
         let vm = Config::parse(&format!("{VALID}{settings}")).unwrap().vm;
         assert_eq!((vm.memory.0, vm.max_fds), (memory_mb, max_fds), "{settings}");
--- a/crates/state/src/steering/memory.rs
+++ b/crates/state/src/steering/memory.rs
@@ -34,8 +34,8 @@
 pub enum HolderKind {
     /// A request body that is being received. The request has not run.
     Upload,
-    /// A complete request body that waits for a server or its response. It is not evicted.
-    Request,
+    /// A complete body of a request or response that waits. It is not evicted.
+    Complete,
     /// A response body that is being received from a server.
     ServerResponse,
     /// A response body that is being delivered to a client.
@@ -54,7 +54,7 @@
 impl Holder {
     /// Time since the last byte, if it is long enough for an eviction.
     fn stalled_for(&self, now: Timestamp) -> Option<Duration> {
-        if self.kind == HolderKind::Request {
+        if self.kind == HolderKind::Complete {
             return None;
         }
         let idle = now.since(self.progress_at);
--- a/crates/state/tests/untrusted.rs
+++ b/crates/state/tests/untrusted.rs
@@ -49,7 +49,7 @@
     let mut budget = MemoryBudget::new(1_000_000);
     let large = budget.open(START, HolderKind::Upload);
     assert_eq!(budget.reserve(START, large, budget.max_reservation()), Reservation::Granted);
-    budget.set_kind(START, large, HolderKind::Request);
+    budget.set_kind(START, large, HolderKind::Complete);
     let small = budget.open(START, HolderKind::Upload);
     let later = START + 10 * STALL_TIME;
     assert_eq!(budget.reserve(later, small, 100_000), Reservation::Refused);
