Accept a template without a port for quota messages

Cause: the settings template takes the port of quota messages from the second of the free ports. Without one, the address would have an empty port, and the daemon would not start.

Change: an empty value, or an address with an empty port, counts as absent.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -197,13 +197,15 @@
     })
 }
 
-/// Reads a setting for which an empty value counts as absent, as a template without a value leaves it.
+/// Reads a setting for which an empty value, or an address with an empty port, counts as absent, as a template without a value
+/// leaves it.
 fn optional_or_empty<T: FromStr<Err: ToString>>(
     r: &mut IniReader<'_>,
     section: &'static str,
     key: &'static str,
 ) -> Option<T> {
-    if r.raw_value(section, key)?.is_empty() {
+    let text = r.raw_value(section, key)?;
+    if text.is_empty() || text.ends_with(':') {
         return None;
     }
     r.optional(section, key)
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -35,7 +35,9 @@
         assert_eq!(Config::parse(&VALID.replace("[limits]\n", settings)).unwrap().quota_limits, expected);
     }
     let peers = |value| VALID.replace("[listen]\n", &format!("[listen]\npeers = {value}\n"));
-    assert_eq!(Config::parse(&peers("")).unwrap().peer_address, None);
+    for value in ["", "127.0.0.1:"] {
+        assert_eq!(Config::parse(&peers(value)).unwrap().peer_address, None);
+    }
     assert_eq!(Config::parse(&peers("127.0.0.1:9")).unwrap().peer_address, "127.0.0.1:9".parse().ok());
 }
 
