--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -89,10 +89,13 @@
     steering.start_request(now, &route, ObjectId(object), Fingerprint(object), client_timeout).unwrap()
 }
 
+/// Numbers of servers: those of the deployments, and of a large one.
+const SERVERS: [usize; 5] = [20, 24, 98, 246, 753];
+
 /// Each iteration selects a server for one request and records its response.
 fn place_and_end(c: &mut Criterion) {
     let mut group = c.benchmark_group("place+end");
-    for servers in [20, 246] {
+    for servers in SERVERS {
         group.bench_function(BenchmarkId::from_parameter(servers), |b| {
             let mut steering = steering_with_servers(servers);
             let mut at = 0;
@@ -118,7 +121,7 @@
 /// Each iteration polls the queue once after the end of one send, while all servers are at capacity.
 fn release(c: &mut Criterion) {
     let mut group = c.benchmark_group("release");
-    for servers in [20, 246] {
+    for servers in SERVERS {
         group.bench_function(BenchmarkId::from_parameter(servers), |b| {
             let mut steering = steering_with_servers(servers);
             let now = Timestamp::from_millis(1);
