--- a/crates/state/tests/steering_balance.rs
+++ b/crates/state/tests/steering_balance.rs
@@ -209,6 +209,8 @@
         timeout: Some(kind.timeout),
         max_attempts: 2,
         affinity: true,
+        large_responses: false,
+        public: false,
         home_regions: Vec::new(),
         destinations: vec![Destination { service: "desk".parse().unwrap(), weight: 1 }],
     }
