--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -24,6 +24,9 @@
 /// Time within which a change must take effect if the settings give no limit.
 const DEFAULT_MAX_CHANGE_DELAY: Duration = Duration::from_secs(2);
 
+/// Maximum number of file descriptors that the settings can allow.
+const MAX_FDS: f64 = 1_048_576.0;
+
 /// Settings of a daemon.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -153,7 +156,7 @@
     let ready = r.required("listen", "ready");
     let directory = r.optional("listen", "directory");
     let metrics = r.optional("listen", "metrics");
-    let peers = optional_or_empty(r, "listen", "peers");
+    let peers = read_peer_address(r);
     let capacity = read_capacity(r);
     let vm = read_vm_resources(r);
     let store = r.required("platform", "store");
@@ -202,20 +205,27 @@
     })
 }
 
-/// Reads a setting for which an empty value, or an address with an empty port, counts as absent, as a template without a value
-/// leaves it.
+/// Reads a setting for which an empty value counts as absent, as a template without a value leaves it.
 fn optional_or_empty<T: FromStr<Err: ToString>>(
     r: &mut IniReader<'_>,
     section: &'static str,
     key: &'static str,
 ) -> Option<T> {
-    let text = r.raw_value(section, key)?;
-    if text.is_empty() || text.ends_with(':') {
+    if r.raw_value(section, key)?.is_empty() {
         return None;
     }
     r.optional(section, key)
 }
 
+/// Reads the address for messages of other daemons. One with an empty port counts as absent, as a template without a free
+/// port leaves it.
+fn read_peer_address(r: &mut IniReader<'_>) -> Option<SocketAddr> {
+    if r.raw_value("listen", "peers")?.ends_with(':') {
+        return None;
+    }
+    optional_or_empty(r, "listen", "peers")
+}
+
 /// Reads the tolerance of quotas.
 fn read_quota_limits(r: &mut IniReader<'_>) -> QuotaLimits {
     let default = QuotaLimits::default();
@@ -277,14 +287,16 @@
 
 /// Reads the memory and the file descriptors of the VM. An empty value counts as absent.
 fn read_vm_resources(r: &mut IniReader<'_>) -> VmResources {
-    let mut vm = VmResources::default();
-    if r.raw_value("vm", "memory_mb").is_some_and(|text| !text.is_empty()) {
-        vm.memory = r.optional::<Megabytes>("vm", "memory_mb").unwrap_or(vm.memory);
-    }
-    if r.raw_value("vm", "max_fds").is_some_and(|text| !text.is_empty()) {
-        // A platform may render numbers with a fraction.
-        vm.max_fds = r.optional::<f64>("vm", "max_fds").map_or(vm.max_fds, |fds| fds as usize);
+    let default = VmResources::default();
+    // A platform may render numbers with a fraction.
+    let max_fds = optional_or_empty::<f64>(r, "vm", "max_fds");
+    if max_fds.is_some_and(|fds| !(0.0..=MAX_FDS).contains(&fds)) {
+        r.add_error("vm", "max_fds", format!("must be at most {MAX_FDS}"));
     }
+    let vm = VmResources {
+        memory: optional_or_empty::<Megabytes>(r, "vm", "memory_mb").unwrap_or(default.memory),
+        max_fds: max_fds.map_or(default.max_fds, |fds| fds.min(MAX_FDS) as usize),
+    };
     if vm.memory < VmResources::MIN_MEMORY {
         r.add_error("vm", "memory_mb", format!("must be at least {}", VmResources::MIN_MEMORY.0));
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -37,7 +37,8 @@
 /// Interval between renewals of the lease. They also show whether the service responds.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
 
-/// Interval between renewals of a daemon whose relay announces that the service responds.
+/// Interval between renewals of a daemon whose relay announces that the service responds. Two renewals without a response
+/// end 4.65 s after the last one with a response, within [`RELAYED_LEASE_TTL`].
 const FOLLOWER_RENEWAL_PERIOD: Duration = Duration::from_millis(2_250);
 
 /// Interval before a failed renewal is repeated. It bounds how late the end of an outage is noticed.
@@ -293,8 +294,9 @@
     }
     let mut waited = Duration::ZERO;
     while waited < FOLLOWER_RENEWAL_PERIOD {
-        sleep(RENEWAL_PERIOD).await;
-        waited += RENEWAL_PERIOD;
+        let step = RENEWAL_PERIOD.min(FOLLOWER_RENEWAL_PERIOD - waited);
+        sleep(step).await;
+        waited += step;
         if !shared.follows_relay() || registration.is_none_or(|r| r.lacks_crash(shared)) {
             return;
         }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -18,6 +18,9 @@
 
 /// Handles a message of another daemon.
 pub fn handle<A: Adapter>(shared: &Shared<A>, from: SocketAddr, datagram: &Datagram) {
+    if shared.members.borrow().peer_address(datagram.sender()) != Some(from) {
+        return log_ignored(shared, from, "the address is not that of a listed sender");
+    }
     let received = shared.quotas.borrow_mut().receive(shared.now(), datagram);
     match received {
         Ok(Some(answer)) => send(shared, answer),
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -151,7 +151,8 @@
             let watched = tokio::select! {
                 () = wait_until(shared, source) => continue,
                 watched = store.watch("", after, watch_timeout(shared, source)), if !is_wait(source) => watched,
-                () = self.fetch_needed.notified() => continue,
+                // A fetch that each announcement restarted would never end on a slow link.
+                () = self.fetch_needed.notified(), if source != Source::Fetch => continue,
                 () = store_recovered.notified() => continue,
             };
             count_call(shared, "watch", &watched);
--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -33,7 +33,10 @@
 pub const MAX_HOLD_FRACTION: f64 = 0.125;
 
 /// Wait at the servers that the threshold aims at, as a fraction of the latency objective.
-const TARGET_WAIT_FRACTION: f64 = 0.35;
+const TARGET_WAIT_FRACTION: f64 = 0.25;
+
+/// Wait at the servers up to which there is room for late requests, as a fraction of the latency objective.
+const LIGHT_WAIT_FRACTION: f64 = 0.125;
 
 /// Weight of a load report in the average wait.
 const WAIT_SAMPLE_WEIGHT: f64 = 0.1;
@@ -164,6 +167,9 @@
         if estimate.has_capacity && estimate.wait <= 0.0 {
             return Verdict::Start;
         }
+        if threshold <= 0.0 {
+            return self.decide_without_overload(estimate);
+        }
         if !self.meets_objective(estimate.latency) {
             return Verdict::RejectLate;
         }
@@ -177,8 +183,24 @@
         }
         // A request that was held as long as it may be is served at its turn in the queue of the server, unless its wait
         // was expected to have ended already: then the estimate is too low.
-        let is_moving = estimate.wait > self.held.as_secs_f64();
-        if can_wait && is_moving { Verdict::Start } else { Verdict::RejectLate }
+        if can_wait && self.is_wait_plausible(estimate) { Verdict::Start } else { Verdict::RejectLate }
+    }
+
+    /// Decides about a request that has to wait while nothing must be shed. A late response is then worth more than none, and
+    /// the wait at a server is short.
+    fn decide_without_overload(&self, estimate: &Estimate) -> Verdict {
+        if estimate.has_capacity {
+            return Verdict::Start;
+        }
+        if !self.remaining_hold().is_zero() {
+            return Verdict::Queue;
+        }
+        if self.is_wait_plausible(estimate) { Verdict::Start } else { Verdict::RejectLate }
+    }
+
+    /// Whether the wait may still end when it was expected to. After that time the estimate is known to be too low.
+    fn is_wait_plausible(&self, estimate: &Estimate) -> bool {
+        estimate.wait > self.held.as_secs_f64()
     }
 }
 
@@ -197,10 +219,11 @@
 }
 
 impl ValueThreshold {
-    /// The current threshold.
+    /// The current threshold. Zero if nothing must be shed; the smallest positive number if only late requests must be.
     pub fn get(&self) -> f64 {
         match self.ln_range {
             Some((low, high)) if self.position > 0.0 => (low + (high - low) * self.position).exp(),
+            _ if self.wait_fraction > LIGHT_WAIT_FRACTION => f64::MIN_POSITIVE,
             _ => 0.0,
         }
     }
@@ -251,11 +274,14 @@
 
 impl Counts {
     fn advance(&mut self, now: Timestamp) {
+        *self = self.at(now);
+    }
+
+    /// The counts as they have decayed until `now`.
+    fn at(self, now: Timestamp) -> Self {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         let weight = (-elapsed / SHARE_TIME_CONSTANT.as_secs_f64()).exp();
-        self.arrived *= weight;
-        self.answered *= weight;
-        self.updated_at = now;
+        Self { arrived: self.arrived * weight, answered: self.answered * weight, updated_at: now }
     }
 
     /// Fraction of the requests that were answered. 1 if too few have arrived.
@@ -287,16 +313,18 @@
 
     /// Factor on the threshold for a request type: below 1 for one that is answered much less often than all, above 1
     /// for one that is answered more often than a more urgent one.
-    pub fn threshold_factor(&self, priority: Priority) -> f64 {
-        let Some(counts) = self.types.get(&priority) else {
+    pub fn threshold_factor(&self, now: Timestamp, priority: Priority) -> f64 {
+        // A type that no longer sends requests must not keep its share.
+        let types: BTreeMap<Priority, Counts> = self.types.iter().map(|(p, c)| (*p, c.at(now))).collect();
+        let Some(counts) = types.get(&priority) else {
             return 1.0;
         };
         let (arrived, answered) =
-            self.types.values().fold((0.0, 0.0), |(a, b), c| (a + c.arrived, b + c.answered));
+            types.values().fold((0.0, 0.0), |(a, b), c| (a + c.arrived, b + c.answered));
         let overall = if arrived < MIN_ARRIVALS { 1.0 } else { (answered / arrived).min(1.0) };
         let share = counts.share();
         let entitled = (share / (overall * MIN_RELATIVE_SHARE).max(0.001)).min(1.0).powi(2);
-        let more_urgent = self.types.range(..priority).map(|(_, c)| c.share()).fold(1.0, f64::min);
+        let more_urgent = types.range(..priority).map(|(_, c)| c.share()).fold(1.0, f64::min);
         entitled * (share / more_urgent.max(0.01)).max(1.0).powi(4)
     }
 }
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -59,7 +59,7 @@
         let selected = best.to_selected();
         let value = offer(now, call).value_per_slot_second(&estimate);
         self.service_state(&call.service).value_threshold.record_offer(value);
-        match offer(now, call).decide(&estimate, self.value_threshold(call)) {
+        match offer(now, call).decide(&estimate, self.value_threshold(now, call)) {
             Verdict::Start => self.send(now, call, selected),
             Verdict::Queue => self.enqueue(now, call, selected.backend),
             verdict => self.reject(now, call, &estimate, verdict),
@@ -73,11 +73,11 @@
     }
 
     /// The threshold on the value per second of slot time for a request.
-    fn value_threshold(&self, call: &Call) -> f64 {
+    fn value_threshold(&self, now: Timestamp, call: &Call) -> f64 {
         let Some(state) = self.services.get(&call.service) else {
             return 0.0;
         };
-        state.value_threshold.get() * state.answered_shares.threshold_factor(call.route.priority)
+        state.value_threshold.get() * state.answered_shares.threshold_factor(now, call.route.priority)
     }
 
     /// Refuses a request that admission control has rejected.
@@ -241,7 +241,7 @@
         };
         let estimate = self.estimate(call, &best, best.wait, best.has_capacity);
         let selected = best.to_selected();
-        match offer(now, call).decide(&estimate, self.value_threshold(call)) {
+        match offer(now, call).decide(&estimate, self.value_threshold(now, call)) {
             Verdict::Start => Ok(self.send(now, call, selected)),
             Verdict::Queue => Err(selected.backend),
             verdict => Ok(self.reject(now, call, &estimate, verdict)),
--- a/crates/state/src/steering/quota/fleet.rs
+++ b/crates/state/src/steering/quota/fleet.rs
@@ -30,7 +30,7 @@
 const URGENT_REPORTS_PER_PERIOD: u32 = 3;
 
 /// Duration of a lease in report periods, so that several messages may be lost before a share is.
-const LEASE_PERIODS: u32 = 7;
+const LEASE_PERIODS: u32 = 4;
 
 /// Time in which all daemons notice a change of the list of daemons.
 const VIEW_DELAY: Duration = Duration::from_secs(1);
--- a/crates/state/src/steering/quota/message.rs
+++ b/crates/state/src/steering/quota/message.rs
@@ -70,3 +70,13 @@
     /// Grant of a coordinator.
     Grant(Grant),
 }
+
+impl Datagram {
+    /// The daemon that sent the message, as the message says.
+    pub fn sender(&self) -> DaemonKey {
+        match self {
+            Self::Report(report) => report.from,
+            Self::Grant(grant) => grant.from,
+        }
+    }
+}
