Merge the parts of the work on high load

Accounts and quotas, admission control, relays and restored key-value service, limits on memory and connections, and the simulation of even load.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -15,13 +15,18 @@
 use medlarstair_state::steering::SteeringConfig;
 use medlarstair_state::steering::capacity::Capacity;
 use medlarstair_state::steering::engine::RoundTrips;
+use medlarstair_state::steering::quota::QuotaLimits;
 use medlarstair_state::steering::retries::RetryLimits;
+use medlarstair_state::steering::vm::{Megabytes, VmResources};
 
 use crate::eventlog::LogLimits;
 
 /// Time within which a change must take effect if the settings give no limit.
 const DEFAULT_MAX_CHANGE_DELAY: Duration = Duration::from_secs(2);
 
+/// Maximum number of file descriptors that the settings can allow.
+const MAX_FDS: f64 = 1_048_576.0;
+
 /// Settings of a daemon.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -41,9 +46,14 @@
     pub directory_address: Option<SocketAddr>,
     /// Listening address for metrics. `None` if they are not served.
     pub metrics_address: Option<SocketAddr>,
+    /// Listening address for datagrams of other daemons. `None` if this daemon exchanges none; it then watches the key-value
+    /// service by itself, and each daemon has an equal part of each quota.
+    pub peer_address: Option<SocketAddr>,
     /// Requests per second that the daemon's VM can forward, estimated from its CPU share and link speed. A default if these
     /// are not set.
     pub capacity: Capacity,
+    /// Memory and file descriptors of the daemon's VM.
+    pub vm: VmResources,
     /// Address of the platform's key-value service.
     pub store_address: SocketAddr,
     /// Grace period of a shutdown: the process must exit within it after the termination signal.
@@ -59,6 +69,8 @@
     pub cold_overrun: f64,
     /// Requests per second that a cold server may receive in addition to its configured rate times `cold_overrun`.
     pub cold_slack: f64,
+    /// Tolerance of the quotas of client accounts.
+    pub quota_limits: QuotaLimits,
     /// Lowest level that is logged.
     pub log_level: LogLevel,
     /// Limits on the volume of the log.
@@ -144,7 +156,9 @@
     let ready = r.required("listen", "ready");
     let directory = r.optional("listen", "directory");
     let metrics = r.optional("listen", "metrics");
+    let peers = read_peer_address(r);
     let capacity = read_capacity(r);
+    let vm = read_vm_resources(r);
     let store = r.required("platform", "store");
     let grace = r.required::<DurationText>("limits", "grace");
     let config_apply = read_change_delay(r, "config_apply");
@@ -155,6 +169,7 @@
     let slack = r.required("limits", "retry_slack");
     let cold_overrun = r.required("limits", "cold_overrun");
     let cold_slack = r.required("limits", "cold_slack");
+    let quota_limits = read_quota_limits(r);
     let log_level = r.optional("log", "level").unwrap_or(LogLevel::Info);
     let default_limits = LogLimits::default();
     let log_limits = LogLimits {
@@ -170,7 +185,9 @@
         readiness_address: ready?,
         directory_address: directory,
         metrics_address: metrics,
+        peer_address: peers,
         capacity,
+        vm,
         store_address: store?,
         grace_period: grace?.0,
         max_change_delay: [config_apply, drain]
@@ -182,11 +199,55 @@
         retries: RetryLimits { ratio: ratio?, window: window?.0, slack: slack? },
         cold_overrun: cold_overrun?,
         cold_slack: cold_slack?,
+        quota_limits,
         log_level,
         log_limits,
     })
 }
 
+/// Reads a setting for which an empty value counts as absent, as a template without a value leaves it.
+fn optional_or_empty<T: FromStr<Err: ToString>>(
+    r: &mut IniReader<'_>,
+    section: &'static str,
+    key: &'static str,
+) -> Option<T> {
+    if r.raw_value(section, key)?.is_empty() {
+        return None;
+    }
+    r.optional(section, key)
+}
+
+/// Reads the address for messages of other daemons. One with an empty port counts as absent, as a template without a free
+/// port leaves it.
+fn read_peer_address(r: &mut IniReader<'_>) -> Option<SocketAddr> {
+    if r.raw_value("listen", "peers")?.ends_with(':') {
+        return None;
+    }
+    optional_or_empty(r, "listen", "peers")
+}
+
+/// Reads the tolerance of quotas.
+fn read_quota_limits(r: &mut IniReader<'_>) -> QuotaLimits {
+    let default = QuotaLimits::default();
+    let window = optional_or_empty::<DurationText>(r, "limits", "quota_window").map(|text| text.0);
+    if window.is_some_and(|window| window.is_zero()) {
+        r.add_error("limits", "quota_window", "must be greater than zero");
+    }
+    let mut tolerance = |key| {
+        let value = optional_or_empty::<f64>(r, "limits", key)?;
+        if (0.0..f64::INFINITY).contains(&value) {
+            return Some(value);
+        }
+        r.add_error("limits", key, "must be a number of at least zero");
+        None
+    };
+    QuotaLimits {
+        window: window.unwrap_or(default.window),
+        overrun: tolerance("quota_overrun").unwrap_or(default.overrun),
+        slack: tolerance("quota_slack").unwrap_or(default.slack),
+    }
+}
+
 /// Reads a limit on the time within which a change must take effect.
 fn read_change_delay(r: &mut IniReader<'_>, key: &'static str) -> Option<Duration> {
     let delay = r.optional::<DurationText>("limits", key)?.0;
@@ -224,6 +285,27 @@
     }
 }
 
+/// Reads the memory and the file descriptors of the VM. An empty value counts as absent.
+fn read_vm_resources(r: &mut IniReader<'_>) -> VmResources {
+    let default = VmResources::default();
+    // A platform may render numbers with a fraction.
+    let max_fds = optional_or_empty::<f64>(r, "vm", "max_fds");
+    if max_fds.is_some_and(|fds| !(0.0..=MAX_FDS).contains(&fds)) {
+        r.add_error("vm", "max_fds", format!("must be at most {MAX_FDS}"));
+    }
+    let vm = VmResources {
+        memory: optional_or_empty::<Megabytes>(r, "vm", "memory_mb").unwrap_or(default.memory),
+        max_fds: max_fds.map_or(default.max_fds, |fds| fds.min(MAX_FDS) as usize),
+    };
+    if vm.memory < VmResources::MIN_MEMORY {
+        r.add_error("vm", "memory_mb", format!("must be at least {}", VmResources::MIN_MEMORY.0));
+    }
+    if vm.max_fds < VmResources::MIN_FDS {
+        r.add_error("vm", "max_fds", format!("must be at least {}", VmResources::MIN_FDS));
+    }
+    vm
+}
+
 /// Reads the region of each failure domain.
 fn read_domains(r: &mut IniReader<'_>) -> BTreeMap<Domain, Region> {
     let mut domains = BTreeMap::new();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,7 +22,9 @@
 use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
 use crate::notices;
+use crate::peers;
 use crate::probe;
+use crate::quota;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
 
@@ -60,11 +62,16 @@
     fn handle(&mut self, TimerFired: TimerFired, _: &mut Self::Context) {
         let now = self.shared.now();
         self.watcher.apply_due_removals(&self.shared);
+        self.watcher.announce_if_due(&self.shared);
         notices::end_pauses(&self.shared);
         self.shared.steering.borrow_mut().tick(now);
         self.shared.pool.borrow_mut().expire(now);
         self.shared.deliver_decisions();
+        self.shared.clients.cut_stalled();
+        self.shared.control_clients.cut_stalled();
+        self.shared.record_held();
         probe::start_due(&self.shared);
+        quota::send_reports(&self.shared);
     }
 }
 
@@ -86,6 +93,7 @@
     let events = EventLog::new(log.clone(), cfg.log_limits);
     let shared = Shared::new(cfg, adapter, metrics, events);
     listen(&shared).await?;
+    peers::bind(&shared).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %shared.cfg.client_address);
     let (store, store_recovered, watcher) =
         (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::default()));
@@ -98,6 +106,7 @@
         let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
         actix_rt::spawn(async move { watcher.run(shared, store, store_recovered).await });
     }
+    actix_rt::spawn(peers::receive_all(Rc::clone(&shared), Rc::clone(&watcher)));
     Housekeeper { shared: Rc::clone(&shared), watcher }.start();
     actix_rt::spawn(reload_on_hangup(Rc::clone(&shared), path, signal(SignalKind::hangup())?));
     signal(SignalKind::terminate())?.recv().await;
@@ -156,6 +165,7 @@
         match Config::read(&path) {
             Ok(cfg) => {
                 shared.steering.borrow_mut().reconfigure(cfg.steering());
+                shared.quotas.borrow_mut().set_limits(shared.now(), cfg.quota_limits);
                 slog::info!(shared.events.logger(), "settings reloaded"; "code" => 501);
             }
             Err(e) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,8 @@
 
 pub mod accounts;
 pub mod adapter;
+pub mod body;
+pub mod clients;
 pub mod config;
 pub mod control;
 pub mod daemon;
@@ -17,14 +19,19 @@
 pub mod forward;
 pub mod ingress;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod notices;
+pub mod peers;
 pub mod pool;
 pub mod probe;
+pub mod quota;
 pub mod shared;
 pub mod store_outage;
+pub mod store_relay;
 pub mod store_view;
 pub mod store_watcher;
+pub mod upload;
 
 pub use config::Config;
 pub use daemon::run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a daemon, exported in the Prometheus text format.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
@@ -22,12 +24,20 @@
     pub notices: IntCounterVec,
     /// Requests that were rejected because of their account, by reason.
     pub account_rejections: IntCounterVec,
+    /// Messages to and from other daemons, by kind and direction.
+    pub peer_messages: IntCounterVec,
+    /// Bytes of these messages, by kind and direction.
+    pub peer_bytes: IntCounterVec,
     /// Faults in the client accounts of the configuration versions that came into effect, by kind.
     pub account_faults: IntCounterVec,
     /// Calls to the key-value service, by kind and result.
     pub store_calls: IntCounterVec,
     /// Changes of the era of the key-value service, by direction. Responses of an earlier era are ignored.
     pub store_eras: IntCounterVec,
+    /// Times that a limit on resources took effect, by limit.
+    pub limits: IntCounterVec,
+    /// Resources that are in use, by resource.
+    pub held: IntGaugeVec,
 }
 
 impl Metrics {
@@ -57,6 +67,13 @@
             counter("medlarstair_store_calls_total", "Calls to the key-value service", &["kind", "result"])?;
         let store_eras =
             counter("medlarstair_store_eras_total", "Changes of the era of the service", &["direction"])?;
+        let peer_messages =
+            counter("medlarstair_peer_messages_total", "Messages between daemons", &["kind", "direction"])?;
+        let peer_bytes =
+            counter("medlarstair_peer_bytes_total", "Bytes of these messages", &["kind", "direction"])?;
+        let limits = counter("medlarstair_limits_total", "Limits on resources that took effect", &["limit"])?;
+        let held = IntGaugeVec::new(Opts::new("medlarstair_held", "Resources in use"), &["resource"])?;
+        registry.register(Box::new(held.clone()))?;
         let opts = HistogramOpts::new("medlarstair_request_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
         let latency = HistogramVec::new(opts, &["route"])?;
@@ -69,9 +86,13 @@
             connections,
             notices,
             account_rejections,
+            peer_messages,
+            peer_bytes,
             account_faults,
             store_calls,
             store_eras,
+            limits,
+            held,
         })
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,22 +2,28 @@
 //!
 //! All tasks run on one thread. No `RefCell` borrow is held across an `await`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use medlarstair_state::steering::quota::{DaemonKey, Quotas};
+use medlarstair_state::steering::vm::ResourceLimits;
 use medlarstair_state::steering::{Decision, QueueTicket, Steering};
 use medlarstair_state::time::Timestamp;
-use medlarstair_transport::clock::BootClock;
+use medlarstair_transport::clock::{BootClock, wall_ms};
 use tokio::sync::{Notify, oneshot};
 
 use crate::adapter::Adapter;
+use crate::clients::Clients;
 use crate::config::Config;
 use crate::eventlog::EventLog;
 use crate::membership::Members;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
+use crate::peers::PeerSocket;
 use crate::pool::Pool;
 use crate::store_outage::StoreOutage;
+use crate::store_relay::StoreRelay;
 
 /// Phase in the lifetime of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,12 +51,24 @@
     pub adapter: A,
     /// Routing logic, which holds the configuration and the state of the backend servers.
     pub steering: RefCell<Steering>,
+    /// Quotas of the client accounts.
+    pub quotas: RefCell<Quotas>,
+    /// Socket for messages of other daemons. Empty if the settings have no address for it.
+    pub peer_socket: OnceCell<PeerSocket>,
     /// Daemons of the deployment that are known to run.
     pub members: RefCell<Members>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
+    /// Open connections of clients.
+    pub clients: Rc<Clients>,
+    /// Open connections for readiness checks, look-ups and metrics.
+    pub control_clients: Rc<Clients>,
+    /// Memory budget for bodies of requests and responses.
+    pub memory: Rc<Memory>,
     /// Outages of the key-value service that this daemon has observed.
     pub store_outage: RefCell<StoreOutage>,
+    /// Announcements of the daemon that watches the key-value service for this one.
+    pub store_relay: RefCell<StoreRelay>,
     /// Metrics that the daemon exports.
     pub metrics: Metrics,
     /// Rate-limited event log.
@@ -69,17 +87,26 @@
     /// Creates the state of a daemon that is starting.
     pub fn new(cfg: Config, adapter: A, metrics: Metrics, events: EventLog) -> Rc<Self> {
         let steering = RefCell::new(Steering::new(cfg.steering()));
+        let limits = ResourceLimits::of_vm(cfg.vm);
+        let clock = BootClock::start();
+        let quotas = Quotas::new(DaemonKey::from_name(&cfg.name), cfg.quota_limits, clock.now(), wall_ms());
         Rc::new(Self {
             adapter,
             steering,
+            quotas: RefCell::new(quotas),
+            peer_socket: OnceCell::new(),
             members: RefCell::new(Members::new(&cfg)),
-            pool: RefCell::new(Pool::default()),
+            pool: RefCell::new(Pool::new(limits.idle_connections)),
+            clients: Clients::new(limits.client_connections, clock),
+            control_clients: Clients::new(limits.control_connections, clock),
+            memory: Memory::new(limits.body_bytes, clock),
             store_outage: RefCell::default(),
+            store_relay: RefCell::default(),
             metrics,
             events,
             shutdown_started: Notify::new(),
             store_restored: Notify::new(),
-            clock: BootClock::start(),
+            clock,
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             waiters: RefCell::new(BTreeMap::new()),
@@ -113,6 +140,17 @@
         self.phase() == Phase::Serving && self.steering.borrow().plan().is_some()
     }
 
+    /// Whether another daemon may watch the key-value service for this one: it is the relay, and no call of this daemon has
+    /// failed since the last response.
+    pub fn may_follow_relay(&self) -> bool {
+        !self.members.borrow().is_relay() && !self.store_outage.borrow().is_ongoing()
+    }
+
+    /// Whether another daemon watches the key-value service for this one, and has been heard recently.
+    pub fn follows_relay(&self) -> bool {
+        self.may_follow_relay() && self.store_relay.borrow().is_heard(self.now())
+    }
+
     /// Number of open client connections.
     pub fn open_connections(&self) -> usize {
         self.open_connections.get()
@@ -128,6 +166,13 @@
         self.open_connections.set(self.open_connections.get().saturating_sub(1));
     }
 
+    /// Writes the resources in use to the metrics.
+    pub fn record_held(&self) {
+        let set = |resource, value| self.metrics.held.with_label_values(&[resource]).set(value);
+        set("body-bytes", self.memory.used() as i64);
+        set("connections", self.clients.len() as i64);
+    }
+
     /// Registers a queued request and returns the channel on which its decision is delivered.
     pub fn add_waiter(&self, ticket: QueueTicket) -> oneshot::Receiver<Decision> {
         let (tx, rx) = oneshot::channel();
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -3,8 +3,9 @@
 //! A single listing followed by a single watch covers all keys. An older revision of a key never replaces a newer one. After a
 //! restoration of the service from an older copy, [`StoreView`] decides what of the copy is applied.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,8 +20,10 @@
 use crate::adapter::{Adapter, StoreUpdate};
 use crate::eventlog::log_store_failure;
 use crate::membership::{MEMBER_PREFIX, Member};
+use crate::peers::{MAX_DATAGRAM_BYTES, PeerMessage, log_ignored};
 use crate::shared::Shared;
 use crate::store_outage::ENTRY_RESTORE_GRACE_PERIOD;
+use crate::store_relay::{ANNOUNCEMENT_PERIOD, Announcement, Position, Reaction, Source, split};
 use crate::store_view::{StoreView, Verdict};
 
 /// Minimum timeout of a watch. Each watch counts as a billed call.
@@ -34,6 +37,9 @@
 /// without delay: after an outage, a delay after each of many full responses would add up to several seconds.
 const FULL_RESPONSE_CHANGES: usize = 256;
 
+/// Maximum size of the changes in one announcement in bytes. The rest of the datagram holds positions and lengths.
+const MAX_CHANGES_BYTES: usize = MAX_DATAGRAM_BYTES - 100;
+
 /// Backoff after the first failed call. It doubles with each further failure.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -57,6 +63,11 @@
     view: RefCell<StoreView>,
     /// Servers whose entries were deleted during an outage, until they are removed or restored.
     pending_removals: RefCell<BTreeMap<Backend, PendingRemoval>>,
+    /// Position up to which all changes have been applied.
+    applied: Cell<Position>,
+    /// Notified when an announcement tells of changes that must be fetched.
+    fetch_needed: Notify,
+    announced_at: Cell<Timestamp>,
 }
 
 impl StoreWatcher {
@@ -71,9 +82,9 @@
         let mut backoff = MIN_BACKOFF;
         loop {
             match self.list_all(&shared, &*store).await {
-                Ok(mut after) => {
+                Ok(()) => {
                     backoff = MIN_BACKOFF;
-                    self.watch(&shared, &*store, &store_recovered, &mut after).await;
+                    self.watch(&shared, &*store, &store_recovered).await;
                 }
                 Err(e) => {
                     record_failure(&shared, &e);
@@ -84,13 +95,15 @@
         }
     }
 
-    /// Lists and applies all entries, and treats known keys that are missing as deleted, after a restoration with a delay.
-    /// Returns the revision of the listing.
+    /// Lists and applies all entries, and treats known keys that are missing as deleted, after a restoration with a
+    /// delay.
     async fn list_all<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
         store: &S,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<(), StoreError> {
+        // An announced change that is newer than the listing would count as deleted by it.
+        self.applied.set(Position::default());
         let listed = store.list("").await;
         count_call(shared, "list", &listed);
         let listing = listed?;
@@ -110,7 +123,8 @@
             }
         }
         self.apply_entries(shared, listing.entries);
-        Ok(revision)
+        self.applied.set(Position { era: listing.era, revision });
+        Ok(())
     }
 
     /// Keeps an entry that is missing from an older copy of the service until its owner has had time to write it again.
@@ -128,13 +142,17 @@
         shared: &Shared<A>,
         store: &S,
         store_recovered: &Notify,
-        after: &mut Revision,
     ) {
         let mut backoff = MIN_BACKOFF;
         let era = self.view.borrow().era();
         while store.era() == era {
+            let after = self.applied.get().revision;
+            let source = self.source(shared);
             let watched = tokio::select! {
-                watched = store.watch("", *after, watch_timeout(shared)) => watched,
+                () = wait_until(shared, source) => continue,
+                watched = store.watch("", after, watch_timeout(shared, source)), if !is_wait(source) => watched,
+                // A fetch that each announcement restarted would never end on a slow link.
+                () = self.fetch_needed.notified(), if source != Source::Fetch => continue,
                 () = store_recovered.notified() => continue,
             };
             count_call(shared, "watch", &watched);
@@ -142,12 +160,14 @@
                 Ok(listing) if listing.era != era => return,
                 Ok(listing) => {
                     backoff = MIN_BACKOFF;
-                    *after = listing.revision.max(*after);
                     let changes = listing.entries.len();
                     if changes < FULL_RESPONSE_CHANGES {
-                        shared.store_outage.borrow_mut().record_success(shared.now(), *after);
+                        shared
+                            .store_outage
+                            .borrow_mut()
+                            .record_success(shared.now(), listing.revision.max(after));
                     }
-                    self.apply_entries(shared, listing.entries);
+                    self.apply_watched(shared, after, listing);
                     if (1..FULL_RESPONSE_CHANGES).contains(&changes) {
                         sleep(shared.cfg.max_change_delay.mul_f64(BATCH_DELAY_FRACTION)).await;
                     }
@@ -167,6 +187,124 @@
         }
     }
 
+    /// Chooses how this daemon gets the next change.
+    fn source<A: Adapter>(&self, shared: &Shared<A>) -> Source {
+        let may_follow = shared.may_follow_relay();
+        shared.store_relay.borrow().source(shared.now(), may_follow, self.applied.get())
+    }
+
+    /// Applies the response to a watch after the revision `after`, and announces its changes.
+    fn apply_watched<A: Adapter>(&self, shared: &Shared<A>, after: Revision, listing: Listing) {
+        let watched = Position { era: listing.era, revision: listing.revision };
+        let known = self.applied.get();
+        let applied = known.max(watched);
+        self.applied.set(applied);
+        shared.store_relay.borrow_mut().record_fetched(applied);
+        let changes = newer_than(known, listing.entries);
+        if !changes.is_empty() {
+            self.announce_changes(shared, after, watched, &changes);
+        }
+        self.apply_entries(shared, changes);
+    }
+
+    /// Handles an announcement of a relay.
+    pub fn on_announcement<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        from: SocketAddr,
+        announcement: Announcement,
+    ) {
+        let members = shared.members.borrow();
+        let Some(domain) = members.domain_of_peer(from) else {
+            return log_ignored(shared, from, "no daemon of the region is listed with the address");
+        };
+        let own_domain = domain == members.domain();
+        drop(members);
+        let now = shared.now();
+        let reaction =
+            shared.store_relay.borrow_mut().receive(now, own_domain, &announcement, self.applied.get());
+        if own_domain {
+            self.record_relayed_response(shared, &announcement);
+        }
+        match reaction {
+            Reaction::Apply => {
+                let known = self.applied.replace(announcement.position);
+                let changes = newer_than(known, announcement.changes);
+                self.announce_changes(shared, known.revision, announcement.position, &changes);
+                self.apply_entries(shared, changes);
+            }
+            Reaction::Fetch => self.fetch_needed.notify_waiters(),
+            Reaction::Ignore => {}
+        }
+    }
+
+    /// Records what an announcement tells of the availability of the service.
+    fn record_relayed_response<A: Adapter>(&self, shared: &Shared<A>, announcement: &Announcement) {
+        let now = shared.now();
+        let age = Duration::from_millis(announcement.response_age_ms.into());
+        let mut store_outage = shared.store_outage.borrow_mut();
+        store_outage.record_response(now - age);
+        if let Some(report) =
+            announcement.outage.filter(|_| announcement.position.era == self.applied.get().era)
+        {
+            store_outage.record_report(now, report);
+        }
+    }
+
+    /// Announces the newest known position to the followers if this daemon is a relay and has announced nothing for some time.
+    pub fn announce_if_due<A: Adapter>(&self, shared: &Shared<A>) {
+        let now = shared.now();
+        if now.since(self.announced_at.get()) < ANNOUNCEMENT_PERIOD {
+            return;
+        }
+        self.announced_at.set(now);
+        let position = shared.store_relay.borrow().newest(self.applied.get());
+        let idle = Announcement {
+            position,
+            after: position.revision,
+            changes: Vec::new(),
+            response_age_ms: 0,
+            outage: None,
+        };
+        self.announce(shared, vec![idle]);
+    }
+
+    /// Announces the changes after the revision `after` up to `end` if this daemon is a relay.
+    fn announce_changes<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        after: Revision,
+        end: Position,
+        changes: &[Entry],
+    ) {
+        if shared.peer_socket.get().is_some() {
+            self.announce(shared, split(after, end, changes.to_vec(), MAX_CHANGES_BYTES));
+        }
+    }
+
+    /// Sends announcements to the followers if this daemon is a relay that is served by the service.
+    fn announce<A: Adapter>(&self, shared: &Shared<A>, announcements: Vec<Announcement>) {
+        let Some(peers) = shared.peer_socket.get() else {
+            return;
+        };
+        if self.applied.get() == Position::default()
+            || !shared.members.borrow().is_relay()
+            || shared.store_outage.borrow().is_ongoing()
+        {
+            return;
+        }
+        let now = shared.now();
+        self.announced_at.set(now);
+        let age = now.since(shared.store_outage.borrow().last_response()).as_millis();
+        let response_age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        let outage = shared.store_outage.borrow().recent(now);
+        let followers = shared.members.borrow().followers();
+        for announcement in announcements {
+            let message = PeerMessage::Store(Announcement { response_age_ms, outage, ..announcement });
+            peers.send(shared, &followers, &message);
+        }
+    }
+
     /// Applies entries, then the number of daemons.
     fn apply_entries<A: Adapter>(&self, shared: &Shared<A>, entries: Vec<Entry>) {
         for entry in entries {
@@ -174,6 +312,8 @@
         }
         let counts = shared.members.borrow().counts();
         shared.steering.borrow_mut().set_daemons(shared.now(), counts);
+        let (own, others) = shared.members.borrow().quota_daemons();
+        shared.quotas.borrow_mut().set_daemons(shared.now(), own, others);
         shared.deliver_decisions();
     }
 
@@ -205,6 +345,7 @@
                 let in_force = shared.steering.borrow_mut().apply_plan(*plan);
                 if in_force {
                     accounts::record_faults(shared, &accounts);
+                    shared.quotas.borrow_mut().set_accounts(shared.now(), &accounts);
                 }
                 slog::info!(shared.events.logger(), "routing configuration received"; "code" => 510,
                     "version" => version.0, "revision" => entry.revision.0, "in_force" => in_force);
@@ -317,13 +458,31 @@
 
 /// Timeout of the next watch. Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change
 /// may take. After a failure it returns at once, so that its revision tells the changes of the outage from later ones.
-fn watch_timeout<A: Adapter>(shared: &Shared<A>) -> Duration {
-    if shared.store_outage.borrow().is_ongoing() {
+fn watch_timeout<A: Adapter>(shared: &Shared<A>, source: Source) -> Duration {
+    if source == Source::Fetch || shared.store_outage.borrow().is_ongoing() {
         return Duration::ZERO;
     }
     shared.cfg.max_change_delay.max(MIN_WATCH_TIMEOUT)
 }
 
+/// Keeps the changes that are newer than the known position. An older one may have been undone since.
+fn newer_than(known: Position, mut changes: Vec<Entry>) -> Vec<Entry> {
+    changes.retain(|entry| entry.revision > known.revision);
+    changes
+}
+
+fn is_wait(source: Source) -> bool {
+    matches!(source, Source::Wait(_))
+}
+
+/// Waits until the end of [`Source::Wait`]. Never returns for the other sources.
+async fn wait_until<A: Adapter>(shared: &Shared<A>, source: Source) {
+    match source {
+        Source::Wait(until) => sleep(until.since(shared.now())).await,
+        Source::Watch | Source::Fetch => std::future::pending().await,
+    }
+}
+
 /// Records and logs the failure of a call.
 fn record_failure<A: Adapter>(shared: &Shared<A>, e: &StoreError) {
     shared.store_outage.borrow_mut().record_failure();
--- a/crates/state/benches/steering.rs
+++ b/crates/state/benches/steering.rs
@@ -1,5 +1,6 @@
 //! Benchmarks of the server selection and of the queue, by the number of backend servers.
 
+use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,8 +22,15 @@
 /// Number of distinct objects, which are requested in turn.
 const OBJECTS: u64 = 266;
 
+/// A latency objective for which any number of requests may wait.
+const LONG_OBJECTIVE: Duration = Duration::from_secs(3_600_000);
+
 /// A daemon in the first of three regions, over which the servers are evenly distributed.
 fn steering_with_servers(servers: usize) -> Steering {
+    steering_with_objective(servers, OBJECTIVE)
+}
+
+fn steering_with_objective(servers: usize, latency_objective: Duration) -> Steering {
     let regions = ["near", "far", "farther"];
     let mut steering = Steering::new(SteeringConfig {
         region: regions[0].parse().unwrap(),
@@ -55,7 +63,7 @@
         public: false,
         retry_safety: RetrySafety::Idempotent,
         priority: Priority(1),
-        latency_objective: OBJECTIVE,
+        latency_objective,
         timeout: None,
         max_attempts: 2,
         affinity: true,
@@ -81,10 +89,13 @@
     steering.start_request(now, &route, ObjectId(object), Fingerprint(object), client_timeout).unwrap()
 }
 
+/// Numbers of servers: those of the deployments, and of a large one.
+const SERVERS: [usize; 5] = [20, 24, 98, 246, 753];
+
 /// Each iteration selects a server for one request and records its response.
 fn place_and_end(c: &mut Criterion) {
     let mut group = c.benchmark_group("place+end");
-    for servers in [20, 246] {
+    for servers in SERVERS {
         group.bench_function(BenchmarkId::from_parameter(servers), |b| {
             let mut steering = steering_with_servers(servers);
             let mut at = 0;
@@ -110,7 +121,7 @@
 /// Each iteration polls the queue once after the end of one send, while all servers are at capacity.
 fn release(c: &mut Criterion) {
     let mut group = c.benchmark_group("release");
-    for servers in [20, 246] {
+    for servers in SERVERS {
         group.bench_function(BenchmarkId::from_parameter(servers), |b| {
             let mut steering = steering_with_servers(servers);
             let now = Timestamp::from_millis(1);
@@ -131,5 +142,57 @@
     group.finish();
 }
 
-criterion_group!(benches, place_and_end, release);
+/// Each iteration decides about one request and withdraws it from the queue, ends one send and queues a new request, or
+/// checks the first request for each server.
+fn admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admission");
+    for waiting in [100, 1_000, 10_000] {
+        let mut steering = steering_with_objective(98, LONG_OBJECTIVE);
+        let now = Timestamp::from_millis(1);
+        let (mut queued, mut sent) = (BTreeMap::new(), Vec::new());
+        while queued.len() < waiting {
+            let call = call_of(&mut steering, now, queued.len() as u64 % OBJECTS);
+            match steering.decide(now, &call) {
+                Decision::Send(selected) => sent.push((call, selected)),
+                Decision::Wait(ticket) => drop(queued.insert(ticket, call)),
+                Decision::Refuse(refusal) => panic!("{refusal:?}"),
+            }
+        }
+        group.bench_function(BenchmarkId::new("decide", waiting), |b| {
+            b.iter(|| {
+                let call = call_of(&mut steering, now, 7);
+                if let Decision::Wait(ticket) = black_box(steering.decide(now, &call)) {
+                    steering.cancel_queued(&call.service, ticket);
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("end", waiting), |b| {
+            b.iter(|| {
+                let (call, selected) = sent.pop().expect("a send is in progress");
+                steering.record_outcome(now, &call, &selected, SendOutcome::Cancelled);
+                for (ticket, decision) in black_box(steering.poll_queue(now)) {
+                    let call = queued.remove(&ticket).expect("each ticket is returned once");
+                    if let Decision::Send(selected) = decision {
+                        sent.push((call, selected));
+                    }
+                }
+                let next = call_of(&mut steering, now, call.object.0 % OBJECTS);
+                match steering.decide(now, &next) {
+                    Decision::Send(selected) => sent.push((next, selected)),
+                    Decision::Wait(ticket) => drop(queued.insert(ticket, next)),
+                    Decision::Refuse(refusal) => panic!("{refusal:?}"),
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("tick", waiting), |b| {
+            b.iter(|| {
+                steering.tick(now);
+                black_box(steering.poll_queue(now))
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, place_and_end, release, admission);
 criterion_main!(benches);
--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -21,23 +21,33 @@
 /// deadline is wasted.
 const LATENCY_SAFETY_FACTOR: f64 = 1.15;
 
-/// Maximum expected latency of a request that has to wait, relative to its latency objective. More than 1, because work
-/// varies: a request whose mean latency is slightly above the objective is often on time.
-const MAX_LATENCY_FRACTION: f64 = 1.3;
+/// Maximum expected latency of a request that has to wait, relative to the time until its latency objective. More than 1,
+/// because work varies: many requests end well before their expected latency.
+const MAX_LATENCY_FRACTION: f64 = 1.6;
 
-/// Maximum expected latency of a request that waits for a server without capacity, relative to its latency objective.
+/// Maximum expected latency of a request that waits for a server without capacity, relative to the time until its latency
+/// objective.
 const SAFE_LATENCY_FRACTION: f64 = 0.9;
 
 /// Maximum time that a request is held in the queue of the daemon, as a fraction of its latency objective.
 pub const MAX_HOLD_FRACTION: f64 = 0.125;
 
-/// Wait at the servers that the threshold aims at, as a fraction of the latency objective.
-const TARGET_WAIT_FRACTION: f64 = 0.125;
+/// Wait at the servers that the threshold aims at, as a fraction of the latency objective. It leaves time for the work on a
+/// warm object, which takes about half of the objective.
+const TARGET_WAIT_FRACTION: f64 = 0.25;
+
+/// Wait at the servers up to which there is room for late requests, as a fraction of the latency objective.
+const LIGHT_WAIT_FRACTION: f64 = 0.0625;
 
 /// Weight of a load report in the average wait.
 const WAIT_SAMPLE_WEIGHT: f64 = 0.1;
 
-/// Time in which the threshold passes through the range of the values while the wait is far from its target.
+/// Time without load reports after which the wait counts as zero. Otherwise a threshold that rejects all requests would
+/// never fall, because only responses carry reports.
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Time in which the threshold passes through the range of the values while the wait is far from its target. It oscillates
+/// if it moves faster than the objectives and the load reports let its effect be seen.
 const THRESHOLD_RANGE_TIME: Duration = Duration::from_secs(16);
 
 /// Weight of a request in the range of the values per slot-second that the threshold can take.
@@ -102,16 +112,19 @@
         latency * LATENCY_SAFETY_FACTOR < self.remaining.as_secs_f64()
     }
 
+    /// Time in seconds until the latency objective has passed. Zero if it has.
+    fn objective_left(&self) -> f64 {
+        self.objective.saturating_sub(self.elapsed).as_secs_f64()
+    }
+
     /// Whether a response whose expected latency is `latency` seconds has a good chance to meet the latency objective.
     pub fn meets_objective(&self, latency: f64) -> bool {
-        let limit = self.objective.as_secs_f64() * MAX_LATENCY_FRACTION;
-        self.elapsed.as_secs_f64() + latency <= limit
+        latency <= self.objective_left() * MAX_LATENCY_FRACTION
     }
 
     /// Whether a response whose expected latency is `latency` seconds meets the latency objective with a margin.
     fn is_clearly_on_time(&self, latency: f64) -> bool {
-        let limit = self.objective.as_secs_f64() * SAFE_LATENCY_FRACTION;
-        self.elapsed.as_secs_f64() + latency <= limit
+        latency <= self.objective_left() * SAFE_LATENCY_FRACTION
     }
 
     /// Time for which the request may still be held in the queue of the daemon.
@@ -138,10 +151,9 @@
     /// assert!(offer.value_per_slot_second(&cold) < 0.3);
     /// ```
     pub fn value_per_slot_second(&self, estimate: &Estimate) -> f64 {
-        let left = self.objective.saturating_sub(self.elapsed).as_secs_f64();
         let latency = estimate.latency.max(0.001);
         // Half of the responses are on time if the expected latency equals the time left.
-        let on_time = (left / latency - 0.5).clamp(0.0, 1.0);
+        let on_time = (self.objective_left() / latency - 0.5).clamp(0.0, 1.0);
         let value = PRIORITY_VALUE_RATIO.powi(i32::from(self.priority.0));
         value * (on_time + LATE_VALUE * (1.0 - on_time)) / estimate.work.max(0.001)
     }
@@ -157,6 +169,9 @@
         if estimate.has_capacity && estimate.wait <= 0.0 {
             return Verdict::Start;
         }
+        if threshold <= 0.0 {
+            return self.decide_without_overload(estimate);
+        }
         if !self.meets_objective(estimate.latency) {
             return Verdict::RejectLate;
         }
@@ -170,8 +185,24 @@
         }
         // A request that was held as long as it may be is served at its turn in the queue of the server, unless its wait
         // was expected to have ended already: then the estimate is too low.
-        let is_moving = estimate.wait > self.held.as_secs_f64();
-        if can_wait && is_moving { Verdict::Start } else { Verdict::RejectLate }
+        if can_wait && self.is_wait_plausible(estimate) { Verdict::Start } else { Verdict::RejectLate }
+    }
+
+    /// Decides about a request that has to wait while nothing must be shed. A late response is then worth more than none, and
+    /// the wait at a server is short.
+    fn decide_without_overload(&self, estimate: &Estimate) -> Verdict {
+        if estimate.has_capacity {
+            return Verdict::Start;
+        }
+        if !self.remaining_hold().is_zero() {
+            return Verdict::Queue;
+        }
+        if self.is_wait_plausible(estimate) { Verdict::Start } else { Verdict::RejectLate }
+    }
+
+    /// Whether the wait may still end when it was expected to. After that time the estimate is known to be too low.
+    fn is_wait_plausible(&self, estimate: &Estimate) -> bool {
+        estimate.wait > self.held.as_secs_f64()
     }
 }
 
@@ -185,13 +216,16 @@
     /// Natural logarithms of the lowest and the highest value per slot-second of recent requests.
     ln_range: Option<(f64, f64)>,
     updated_at: Timestamp,
+    /// Time since the last load report, up to the last update.
+    silence: Duration,
 }
 
 impl ValueThreshold {
-    /// The current threshold.
+    /// The current threshold. Zero if nothing must be shed; the smallest positive number if only late requests must be.
     pub fn get(&self) -> f64 {
         match self.ln_range {
             Some((low, high)) if self.position > 0.0 => (low + (high - low) * self.position).exp(),
+            _ if self.wait_fraction > LIGHT_WAIT_FRACTION => f64::MIN_POSITIVE,
             _ => 0.0,
         }
     }
@@ -207,11 +241,16 @@
     /// Records the wait of a new request at a server, as a fraction of the latency objective.
     pub fn record_wait(&mut self, fraction: f64) {
         self.wait_fraction += (fraction - self.wait_fraction) * WAIT_SAMPLE_WEIGHT;
+        self.silence = Duration::ZERO;
     }
 
     /// Moves the threshold. Call periodically.
     pub fn update(&mut self, now: Timestamp) {
         let elapsed = now.since(std::mem::replace(&mut self.updated_at, now));
+        self.silence += elapsed;
+        if self.silence > REPORT_LIFETIME {
+            self.wait_fraction = 0.0;
+        }
         let error = (self.wait_fraction / TARGET_WAIT_FRACTION - 1.0).clamp(-1.0, 1.0);
         let step = error * elapsed.as_secs_f64() / THRESHOLD_RANGE_TIME.as_secs_f64();
         self.position = (self.position + step).clamp(0.0, 1.0);
@@ -237,11 +276,14 @@
 
 impl Counts {
     fn advance(&mut self, now: Timestamp) {
+        *self = self.at(now);
+    }
+
+    /// The counts as they have decayed until `now`.
+    fn at(self, now: Timestamp) -> Self {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         let weight = (-elapsed / SHARE_TIME_CONSTANT.as_secs_f64()).exp();
-        self.arrived *= weight;
-        self.answered *= weight;
-        self.updated_at = now;
+        Self { arrived: self.arrived * weight, answered: self.answered * weight, updated_at: now }
     }
 
     /// Fraction of the requests that were answered. 1 if too few have arrived.
@@ -273,16 +315,18 @@
 
     /// Factor on the threshold for a request type: below 1 for one that is answered much less often than all, above 1
     /// for one that is answered more often than a more urgent one.
-    pub fn threshold_factor(&self, priority: Priority) -> f64 {
-        let Some(counts) = self.types.get(&priority) else {
+    pub fn threshold_factor(&self, now: Timestamp, priority: Priority) -> f64 {
+        // A type that no longer sends requests must not keep its share.
+        let types: BTreeMap<Priority, Counts> = self.types.iter().map(|(p, c)| (*p, c.at(now))).collect();
+        let Some(counts) = types.get(&priority) else {
             return 1.0;
         };
         let (arrived, answered) =
-            self.types.values().fold((0.0, 0.0), |(a, b), c| (a + c.arrived, b + c.answered));
+            types.values().fold((0.0, 0.0), |(a, b), c| (a + c.arrived, b + c.answered));
         let overall = if arrived < MIN_ARRIVALS { 1.0 } else { (answered / arrived).min(1.0) };
         let share = counts.share();
         let entitled = (share / (overall * MIN_RELATIVE_SHARE).max(0.001)).min(1.0).powi(2);
-        let more_urgent = self.types.range(..priority).map(|(_, c)| c.share()).fold(1.0, f64::min);
+        let more_urgent = types.range(..priority).map(|(_, c)| c.share()).fold(1.0, f64::min);
         entitled * (share / more_urgent.max(0.01)).max(1.0).powi(4)
     }
 }
