List all keys if the missed changes do not arrive in time

Change: a watch without a wait that times out is followed by a listing, which has each key only once.

--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -136,7 +136,8 @@
         self.view.borrow_mut().defer_deletion(&deletion.key, shared.now() + grace_period);
     }
 
-    /// Watches until the service has discarded changes after the revision `after`, or has been restored from an older copy.
+    /// Watches until all keys must be listed again: the service has discarded changes since the last known revision or was
+    /// restored from an older copy, or a response with all missed changes does not arrive in time.
     async fn watch<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
@@ -148,9 +149,10 @@
         while store.era() == era {
             let after = self.applied.get().revision;
             let source = self.source(shared);
+            let wait = watch_timeout(shared, source);
             let watched = tokio::select! {
                 () = wait_until(shared, source) => continue,
-                watched = store.watch("", after, watch_timeout(shared, source)), if !is_wait(source) => watched,
+                watched = store.watch("", after, wait), if !is_wait(source) => watched,
                 // A fetch that each announcement restarted would never end on a slow link.
                 () = self.fetch_needed.notified(), if source != Source::Fetch => continue,
                 () = store_recovered.notified() => continue,
@@ -174,7 +176,9 @@
                 }
                 Err(e) => {
                     record_failure(shared, &e);
-                    if e.is_history_lost() {
+                    // The changes of a long time may be too many for a slow link. A listing has each key only once.
+                    let is_too_long = e.is_timed_out() && wait.is_zero();
+                    if e.is_history_lost() || is_too_long {
                         return;
                     }
                     tokio::select! {
--- a/crates/transport/src/kv.rs
+++ b/crates/transport/src/kv.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum FailureKind {
     Unavailable,
+    TimedOut,
     HistoryLost,
     EarlierEra,
 }
@@ -44,6 +45,11 @@
         Self { cause: cause.to_string().into(), kind: FailureKind::Unavailable }
     }
 
+    /// Creates the error of a call that got no complete response in time.
+    pub fn timed_out() -> Self {
+        Self { cause: "no complete response in time".into(), kind: FailureKind::TimedOut }
+    }
+
     /// Creates the error of a watch whose start revision is no longer in the service's history. The caller must list
     /// all keys again.
     pub fn history_lost() -> Self {
@@ -66,6 +72,11 @@
         Self { cause: cause.into(), kind: FailureKind::EarlierEra }
     }
 
+    /// Returns whether this is the error of [`timed_out`](Self::timed_out).
+    pub fn is_timed_out(&self) -> bool {
+        self.kind == FailureKind::TimedOut
+    }
+
     /// Returns whether this is the error of [`history_lost`](Self::history_lost).
     pub fn is_history_lost(&self) -> bool {
         self.kind == FailureKind::HistoryLost
