--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -37,10 +37,10 @@
 const TARGET_WAIT_FRACTION: f64 = 0.25;
 
 /// Wait at the servers up to which there is room for late requests, as a fraction of the latency objective.
-const LIGHT_WAIT_FRACTION: f64 = 0.0625;
+const LIGHT_WAIT_FRACTION: f64 = 0.1;
 
 /// Weight of a load report in the average wait.
-const WAIT_SAMPLE_WEIGHT: f64 = 0.1;
+const WAIT_SAMPLE_WEIGHT: f64 = 0.05;
 
 /// Time without load reports after which the wait counts as zero. Otherwise a threshold that rejects all requests would
 /// never fall, because only responses carry reports.
