--- a/crates/daemons/src/load/caller.rs
+++ b/crates/daemons/src/load/caller.rs
@@ -27,7 +27,7 @@
 const MAX_CONNECTIONS: usize = 400;
 /// Maximum number of pending requests per worker. Requests beyond it are not sent and are recorded as `too-many-open`.
 const MAX_OPEN_REQUESTS: usize = 20_000;
-/// Time after the deadline for which a worker waits, to distinguish late responses from missing ones.
+/// Period after the deadline for which a worker waits, to distinguish late responses from missing ones.
 const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of entry VMs or backend servers tried per request. The daemons use the same limit.
 const MAX_ATTEMPTS: usize = 3;
@@ -52,7 +52,7 @@
     pub policy: Policy,
     /// Backend servers, one pool per service.
     pub pools: Vec<Pool>,
-    /// Part of the request paths that identifies this run in the run logs.
+    /// Fraction of the request paths that identifies this run in the run logs.
     pub run_id: Box<str>,
 }
 
--- a/crates/daemons/src/load/directory.rs
+++ b/crates/daemons/src/load/directory.rs
@@ -9,7 +9,7 @@
 
 use super::error::LoadError;
 
-/// Time after which the next entry VM is asked.
+/// Delay after which the next entry VM is asked.
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Entry VM listed by a lookup.
--- a/crates/daemons/tests/failures.rs
+++ b/crates/daemons/tests/failures.rs
@@ -15,7 +15,7 @@
 /// Time limit for a configuration change to be in force on all daemons.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
 
-/// Time after which a leaving backend server must not receive new requests.
+/// Delay after which a leaving backend server must not receive new requests.
 const LEAVING_DELAY_MS: u64 = 2_000;
 
 fn repeatable_request<'a>(cluster: &'a Cluster, entry: u32, path: &'a str) -> Request<'a> {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
-/// Time for which a connection is read after a response to a request whose body was not read. The kernel resets a connection
+/// Duration for which a connection is read after a response to a request whose body was not read. The kernel resets a connection
 /// that is closed with unread data, which may discard the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -21,7 +21,7 @@
 
 use crate::eventlog::LogLimits;
 
-/// Time within which a change must take effect if the settings give no limit.
+/// Limit within which a change must take effect if the settings give no limit.
 const DEFAULT_MAX_CHANGE_DELAY: Duration = Duration::from_secs(2);
 
 /// Maximum number of file descriptors that the settings can allow.
@@ -47,7 +47,7 @@
     /// Listening address for metrics. `None` if they are not served.
     pub metrics_address: Option<SocketAddr>,
     /// Listening address for datagrams of other daemons. `None` if this daemon exchanges none; it then watches the key-value
-    /// service by itself, and each daemon has an equal part of each quota.
+    /// service by itself, and each daemon has an equal share of each quota.
     pub peer_address: Option<SocketAddr>,
     /// Requests per second that the daemon's VM can forward, estimated from its CPU share and link speed. A default if these
     /// are not set.
@@ -58,7 +58,7 @@
     pub store_address: SocketAddr,
     /// Grace period of a shutdown: the process must exit within it after the termination signal.
     pub grace_period: Duration,
-    /// Time within which a change in the key-value service must take effect: the smaller one of the limits for the
+    /// Limit within which a change in the key-value service must take effect: the smaller one of the limits for the
     /// configuration and for leaving backend servers.
     pub max_change_delay: Duration,
     /// Maximum fraction of the requests that may move between regions from one window to the next.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,7 +30,7 @@
 /// A connection that carries no request.
 struct IdleConnection {
     connection: ServerConnection,
-    /// Time from which the connection is no longer reused.
+    /// Start time from which the connection is no longer reused.
     expires_at: Timestamp,
 }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -117,6 +117,6 @@
     };
     let share = shared.quotas.borrow().share(shared.now(), account);
     slog::info!(log, "quota of account exceeded"; "code" => 545, "request" => request,
-        "account" => %account.name, "rate_per_s" => account.quota.map_or(0.0, |quota| quota.rate.0),
+        "account" => %account.name, "rate" => account.quota.map_or(0.0, |quota| quota.rate.0),
         "share" => share.unwrap_or_default(), "retry_after_ms" => exceeded.retry_after.as_millis());
 }
--- a/crates/gateway/tests/store_outage.rs
+++ b/crates/gateway/tests/store_outage.rs
@@ -7,7 +7,7 @@
 use medlarstair_state::id::Revision;
 use medlarstair_state::time::Timestamp;
 
-/// Time within which a running server restores its entry after an outage, as the platform specifies it.
+/// Limit within which a running server restores its entry after an outage, as the platform specifies it.
 const RESTORE: Duration = Duration::from_secs(2);
 
 fn at(ms: u64) -> Timestamp {
--- a/crates/protocol/src/stream.rs
+++ b/crates/protocol/src/stream.rs
@@ -25,7 +25,7 @@
     pub service: Service,
     /// Scheduling rank, set by the client.
     pub rank: Rank,
-    /// Time until the deadline when the request is forwarded, in milliseconds.
+    /// Remaining time until the deadline when the request is forwarded, in milliseconds.
     pub deadline_ms: u32,
     /// Whether the request may be repeated, or how repetitions are detected.
     pub idempotency: Idempotency,
--- a/crates/state/src/admission/floors.rs
+++ b/crates/state/src/admission/floors.rs
@@ -37,7 +37,7 @@
 pub(super) struct Charge {
     /// Estimated slot time of the request.
     amount: SlotTime,
-    /// Part of the amount that was deducted from the balance.
+    /// Fraction of the amount that was deducted from the balance.
     deducted: SlotTime,
     /// Whether the request started while no higher rank was waiting.
     uncontested: bool,
--- a/crates/state/src/ranked.rs
+++ b/crates/state/src/ranked.rs
@@ -13,10 +13,10 @@
 use crate::model::Percent;
 use crate::time::Timestamp;
 
-/// Part of the bucket capacity reserved for urgent work, in percent. Standard work cannot take these tokens.
+/// Fraction of the bucket capacity reserved for urgent work, in percent. Standard work cannot take these tokens.
 const STANDARD_RESERVE_PERCENT: f64 = 30.0;
 
-/// Part of the bucket capacity reserved for urgent and standard work, in percent. Bulk work cannot take these tokens.
+/// Fraction of the bucket capacity reserved for urgent and standard work, in percent. Bulk work cannot take these tokens.
 const BULK_RESERVE_PERCENT: f64 = 60.0;
 
 /// Maximum credit of a rank, in tokens. Taking a token requires a credit of one. The additional fraction keeps the
--- a/crates/state/src/steering/accounts.rs
+++ b/crates/state/src/steering/accounts.rs
@@ -123,13 +123,13 @@
     /// Name.
     pub name: Box<str>,
     /// API keys.
-    pub api_keys: Vec<ApiKey>,
-    /// Number of keys that are not valid, and are not in `api_keys`.
+    pub keys: Vec<ApiKey>,
+    /// Number of keys that are not valid, and are not in `keys`.
     pub invalid_keys: usize,
     /// Priority. `None` if not given.
     pub priority: Option<f64>,
     /// Rate of the quota. Zero means none.
-    pub rate_per_second: f64,
+    pub quota_rate: f64,
     /// Burst of the quota.
     pub burst: f64,
     /// Home regions.
@@ -188,7 +188,7 @@
     /// use medlarstair_state::steering::accounts::{AccountSpec, Accounts};
     /// let spec = AccountSpec {
     ///     name: "kaje80".into(),
-    ///     api_keys: vec!["secret".parse().unwrap()],
+    ///     keys: vec!["secret".parse().unwrap()],
     ///     ..AccountSpec::default()
     /// };
     /// let accounts = Accounts::new(vec![spec]);
@@ -228,10 +228,10 @@
         for _ in 0..spec.invalid_keys {
             self.add_fault(position, AccountFaultKind::InvalidKey);
         }
-        if spec.api_keys.is_empty() {
+        if spec.keys.is_empty() {
             self.add_fault(position, AccountFaultKind::NoKeys);
         }
-        for key in spec.api_keys {
+        for key in spec.keys {
             if self.keys.get(&key).is_some_and(|other| *other != id) {
                 self.add_fault(position, AccountFaultKind::SharedKey);
                 shared_keys.insert(key);
@@ -240,7 +240,7 @@
             self.keys.insert(key, id);
         }
         let priority = spec.priority.map(|number| self.check_priority(position, number));
-        let quota = self.check_quota(position, spec.rate_per_second, spec.burst);
+        let quota = self.check_quota(position, spec.quota_rate, spec.burst);
         let account = Account { name, priority, quota, home_regions: spec.home_regions };
         self.accounts.push(Rc::new(account));
     }
--- a/crates/state/src/steering/admission.rs
+++ b/crates/state/src/steering/admission.rs
@@ -46,7 +46,7 @@
 /// never fall, because only responses carry reports.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Time in which the threshold passes through the range of the values while the wait is far from its target. It oscillates
+/// Period in which the threshold passes through the range of the values while the wait is far from its target. It oscillates
 /// if it moves faster than the objectives and the load reports let its effect be seen.
 const THRESHOLD_RANGE_TIME: Duration = Duration::from_secs(16);
 
@@ -72,9 +72,9 @@
     pub objective: Duration,
     /// Time since the first attempt of the client.
     pub elapsed: Duration,
-    /// Time for which this daemon has held the request.
+    /// Duration for which this daemon has held the request.
     pub held: Duration,
-    /// Time until the deadline.
+    /// Remaining time until the deadline.
     pub remaining: Duration,
 }
 
@@ -127,7 +127,7 @@
         latency <= self.objective_left() * SAFE_LATENCY_FRACTION
     }
 
-    /// Time for which the request may still be held in the queue of the daemon.
+    /// Duration for which the request may still be held in the queue of the daemon.
     pub fn remaining_hold(&self) -> Duration {
         self.objective.mul_f64(MAX_HOLD_FRACTION).saturating_sub(self.held)
     }
--- a/crates/state/src/steering/clients.rs
+++ b/crates/state/src/steering/clients.rs
@@ -13,7 +13,7 @@
 /// Time without a byte after which the delivery of a response is cut off.
 pub const DELIVERY_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time after the start of a delivery from which its rate is checked. The rate at the start depends on the window of TCP.
+/// Period after the start of a delivery from which its rate is checked. The rate at the start depends on the window of TCP.
 const DELIVERY_RATE_GRACE: Duration = Duration::from_secs(10);
 
 /// Minimum mean rate of a delivery in bytes per second: a tenth of the part that each of 100 clients has of a link of
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -125,7 +125,7 @@
     /// Time of the latest request for each object in use.
     objects: BTreeMap<ObjectId, Timestamp>,
     demand: BTreeMap<Priority, SlotDemand>,
-    /// The part of the demand that is for routes with large responses.
+    /// The share of the demand that is for routes with large responses.
     large_response_demand: SlotDemand,
     home_demand: HomeDemand,
     dispatch_rates: BTreeMap<Priority, DispatchRate>,
--- a/crates/state/src/steering/engine/queue.rs
+++ b/crates/state/src/steering/engine/queue.rs
@@ -157,7 +157,7 @@
         ahead.map(|(priority, count)| count as f64 * state.dispatch_interval(now, priority)).sum()
     }
 
-    /// Time until which a queued request is held. At this time [`poll_queue`](Self::poll_queue) returns it. `None` if it
+    /// Deadline until which a queued request is held. At this time [`poll_queue`](Self::poll_queue) returns it. `None` if it
     /// is not queued.
     pub fn hold_until(&self, service: &Service, ticket: QueueTicket) -> Option<Timestamp> {
         self.services.get(service)?.queue.hold_until(ticket)
--- a/crates/state/src/steering/engine/waiting.rs
+++ b/crates/state/src/steering/engine/waiting.rs
@@ -15,7 +15,7 @@
     call: Call,
     /// The server that was selected when the request was last checked, and was at capacity.
     awaited_server: Backend,
-    /// Time until which the request is held.
+    /// Deadline until which the request is held.
     hold_until: Timestamp,
 }
 
@@ -86,7 +86,7 @@
         self.requests.get(&ticket).map(|queued| &queued.call)
     }
 
-    /// Time until which a request is held.
+    /// Deadline until which a request is held.
     pub(super) fn hold_until(&self, ticket: QueueTicket) -> Option<Timestamp> {
         self.requests.get(&ticket).map(|queued| queued.hold_until)
     }
--- a/crates/state/src/steering/memory.rs
+++ b/crates/state/src/steering/memory.rs
@@ -15,13 +15,13 @@
 /// Time without a byte after which a body may be evicted. Links of the daemons lose packets for less long.
 pub const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Time after which the delivery of a response to a client may be evicted although it proceeds.
+/// Delay after which the delivery of a response to a client may be evicted although it proceeds.
 pub const SLOW_DELIVERY_TIME: Duration = Duration::from_secs(10);
 
 /// Maximum size in bytes of a reservation that may use the whole budget.
 const SMALL_BYTES: u64 = 64 << 10;
 
-/// Part of the budget, as a divisor, that only small reservations may use. Large bodies that wait for servers cannot be
+/// Fraction of the budget, as a divisor, that only small reservations may use. Large bodies that wait for servers cannot be
 /// evicted, and must not keep small ones out.
 const SMALL_PART_DIVISOR: u64 = 32;
 
@@ -93,7 +93,7 @@
 pub struct MemoryBudget {
     limit: u64,
     used: u64,
-    /// Part of `used` whose holders are being evicted.
+    /// Fraction of `used` whose holders are being evicted.
     releasing: u64,
     next: u64,
     holders: BTreeMap<HolderId, Holder>,
--- a/crates/state/src/steering/quota/coordinator.rs
+++ b/crates/state/src/steering/quota/coordinator.rs
@@ -22,7 +22,7 @@
 /// Interval between divisions. Each takes time in proportion to the number of daemons.
 const DIVISION_PERIOD: Duration = Duration::from_millis(100);
 
-/// Part of the tolerance of a quota for daemons without a floor, each of whose leases allows at least one request at once.
+/// Fraction of the tolerance of a quota for daemons without a floor, each of whose leases allows at least one request at once.
 const LEASE_TOLERANCE_FRACTION: f64 = 0.2;
 
 /// A grant whose lease may still be in use.
@@ -62,7 +62,7 @@
 pub struct Terms {
     /// The quota.
     pub quota: Quota,
-    /// Part of the quota that is leased.
+    /// Fraction of the quota that is leased.
     pub leased_fraction: f64,
     /// Floor of the daemon that reports.
     pub floor: f64,
--- a/crates/state/src/steering/quota/engine.rs
+++ b/crates/state/src/steering/quota/engine.rs
@@ -15,14 +15,14 @@
 use crate::steering::quota::{AccountKey, DaemonKey, QuotaLimits};
 use crate::time::Timestamp;
 
-/// Time after the start in which other daemons that start may not be listed yet.
+/// Period after the start in which other daemons that start may not be listed yet.
 const START_DURATION: Duration = Duration::from_secs(2);
 
-/// Time after the last renewal of its entry at which a daemon must assume that it is no longer listed. Less than the lease of
+/// Period after the last renewal of its entry at which a daemon must assume that it is no longer listed. Less than the lease of
 /// its entry, so that it stops granting before another daemon takes over, and more than the interval of renewals.
 const REGISTRATION_TTL: Duration = Duration::from_secs(3);
 
-/// Time after which the send time of a report is forgotten. A later grant is not used.
+/// Delay after which the send time of a report is forgotten. A later grant is not used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
 
 /// Time without a message after which the sequence numbers of a daemon are forgotten, so that one whose clock was set back is
--- a/crates/state/src/steering/quota/fleet.rs
+++ b/crates/state/src/steering/quota/fleet.rs
@@ -10,7 +10,7 @@
 use crate::steering::affinity::{ObjectId, score};
 use crate::steering::quota::{AccountKey, DaemonKey, QuotaLimits};
 
-/// Part of a quota that is leased in a small fleet.
+/// Fraction of a quota that is leased in a small fleet.
 const LEASED_FRACTION: f64 = 0.75;
 
 /// Number of daemons above which a smaller part is leased.
@@ -35,10 +35,10 @@
 /// Time in which all daemons notice a change of the list of daemons.
 const VIEW_DELAY: Duration = Duration::from_secs(1);
 
-/// Part of the tolerance of a quota for the floors, each of which allows at least one request at once.
+/// Fraction of the tolerance of a quota for the floors, each of which allows at least one request at once.
 const FLOOR_TOLERANCE_FRACTION: f64 = 0.7;
 
-/// Part of the fixed number of requests in the tolerance that the floors allow at once. The relative part of the tolerance
+/// Fraction of the fixed number of requests in the tolerance that the floors allow at once. The relative part of the tolerance
 /// is left for lists of daemons that differ.
 const ALLOWANCE_FRACTION: f64 = 0.6;
 
@@ -109,7 +109,7 @@
         candidates.map(|d| d.key).max_by_key(|key| score(key.0, ObjectId(account.0)))
     }
 
-    /// Part of each quota that is leased.
+    /// Fraction of each quota that is leased.
     pub fn leased_fraction(&self) -> f64 {
         if !self.daemons.iter().any(|d| d.advertised && d.reachable) {
             return 0.0;
@@ -135,7 +135,7 @@
         self.report_period() * LEASE_PERIODS
     }
 
-    /// Time for which a new coordinator grants nothing: until the leases of its predecessor have expired, which may grant
+    /// Duration for which a new coordinator grants nothing: until the leases of its predecessor have expired, which may grant
     /// further ones until it notices the change.
     pub fn takeover_delay(&self) -> Duration {
         self.lease_duration() + VIEW_DELAY
--- a/crates/state/src/steering/quota/mod.rs
+++ b/crates/state/src/steering/quota/mod.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Part of a quota, from 0 to 1.
+/// Fraction of a quota, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Display, Serialize, Deserialize)]
 pub struct Share(pub f32);
 
--- a/crates/state/src/steering/retries.rs
+++ b/crates/state/src/steering/retries.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a service.
 //!
 //! Every send of a request after the first one counts as a retry. The limit holds over all daemons: each may use the
-//! ratio of its own requests plus an equal part of the fixed allowance.
+//! ratio of its own requests plus an equal share of the fixed allowance.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/state/src/steering/retry_after.rs
+++ b/crates/state/src/steering/retry_after.rs
@@ -13,7 +13,7 @@
 /// Minimum delay of a retry after a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Part of the maximum delay over which retries are spread when the schedule extends beyond it.
+/// Fraction of the maximum delay over which retries are spread when the schedule extends beyond it.
 const SPREAD_FRACTION: f64 = 0.2;
 
 /// Fraction of a delay after which a return counts as on time. Clients measure time differently.
--- a/crates/state/src/steering/vm.rs
+++ b/crates/state/src/steering/vm.rs
@@ -7,10 +7,10 @@
 /// Memory in bytes for everything that is not held for clients: program, control plane, log.
 const BASE_BYTES: u64 = 24_000_000;
 
-/// Part of the memory, as a divisor, that the control plane may need on a large VM.
+/// Fraction of the memory, as a divisor, that the control plane may need on a large VM.
 const BASE_DIVISOR: u64 = 8;
 
-/// Part of the memory, as a divisor, for connections.
+/// Fraction of the memory, as a divisor, for connections.
 const CONNECTIONS_DIVISOR: u64 = 7;
 
 /// Memory of a client connection with its connection to a server: both buffers of the HTTP library and the state of the
--- a/crates/state/src/steering/warmup.rs
+++ b/crates/state/src/steering/warmup.rs
@@ -1,7 +1,7 @@
 //! Rate limit for requests to a cold server.
 //!
 //! The limit holds over all daemons. Only the daemons in the region of a server send to it while it is cold, and each
-//! uses an equal part of the limit, so they need no coordination.
+//! uses an equal share of the limit, so they need no coordination.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/state/tests/home_demand.rs
+++ b/crates/state/tests/home_demand.rs
@@ -16,7 +16,7 @@
 use rand_pcg::Pcg64;
 use steering_support::*;
 
-/// Time in which the load of the replay falls, from shortly after its peak to its lowest value.
+/// Period in which the load of the replay falls, from shortly after its peak to its lowest value.
 const FALLING_LOAD_MS: Range<u64> = 6_000..18_000;
 
 /// Guards against a demand that follows each fall of the load, and against one that is slow to follow a rise.
--- a/crates/state/tests/node_crashes.rs
+++ b/crates/state/tests/node_crashes.rs
@@ -14,7 +14,7 @@
 const CRASHING_FINGERPRINT: u64 = 1;
 const CRASH_LIMIT: usize = 3;
 
-/// Time for which a daemon resends crash evidence, since datagrams can be lost.
+/// Duration for which a daemon resends crash evidence, since datagrams can be lost.
 const EVIDENCE_RESEND_TIME: Micros = SEC;
 
 /// Runs a schedule in which one caller resends a crashing request through random daemons after each answer, while
--- a/crates/state/tests/quota.rs
+++ b/crates/state/tests/quota.rs
@@ -252,7 +252,7 @@
     assert!(quotas.admit(now, account).is_err());
 }
 
-/// Guards against daemons without an address for messages that have less than an equal part of a quota.
+/// Guards against daemons without an address for messages that have less than an equal share of a quota.
 #[test]
 fn without_addresses_the_quota_is_split_equally() {
     let (mut quotas, accounts) = single(Timestamp::ZERO);
--- a/crates/state/tests/steering_balance.rs
+++ b/crates/state/tests/steering_balance.rs
@@ -25,10 +25,10 @@
 
 const REGIONS: usize = 3;
 
-/// Part of the work that remains on a warm server.
+/// Fraction of the work that remains on a warm server.
 const WARM_WORK: f64 = 0.3;
 
-/// Time for which a server keeps one slowdown.
+/// Duration for which a server keeps one slowdown.
 const SLOWDOWN_MICROS: u64 = 120_000;
 
 /// Period of the load of a region, in seconds.
--- a/crates/state/tests/support/checks.rs
+++ b/crates/state/tests/support/checks.rs
@@ -5,7 +5,7 @@
 /// Time limit for an accepted change to be in force on every reachable daemon.
 const MAX_PROPAGATION_TIME: Micros = 4 * SEC;
 
-/// Time after which a leaving server must not receive new requests.
+/// Delay after which a leaving server must not receive new requests.
 const MAX_LEAVING_DELAY: Micros = 2 * SEC;
 
 /// Load of a region, in percent of its slots, above which it must not lend slots to other regions.
