review: an evacuation that is withheld after a restoration of the store (case 7)

What is written between the return of the store and a daemon's first listing counts as a part of the older copy.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,13 +5,13 @@
 
 mod daemon;
 mod deployment;
+mod evacuated_again;
 mod http;
 mod json;
 mod late_registration;
 mod leaving_clients;
 mod missed_change;
 mod record;
-mod shared_transaction;
 mod slow_readers;
 mod store;
 mod target;
@@ -46,10 +46,10 @@
         std::process::exit(2);
     });
     let played = match case.as_str() {
+        "evacuated-again" => evacuated_again::play(&record, has_trouble),
         "late-registration" => late_registration::play(&record, has_trouble),
         "leaving-clients" => leaving_clients::play(&record, has_trouble),
         "missed-change" => missed_change::play(&record, has_trouble),
-        "shared-transaction" => shared_transaction::play(&record, has_trouble),
         "slow-readers" => slow_readers::play(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/rig-2/missed_change.rs
+++ b/review/rig-2/missed_change.rs
@@ -109,7 +109,7 @@
 }
 
 /// Sends safe requests to a daemon, one after the other, on a kept connection.
-fn send_requests(front: &str, daemon: usize, stopped: &AtomicBool, record: &Record) {
+pub fn send_requests(front: &str, daemon: usize, stopped: &AtomicBool, record: &Record) {
     let mut connection = None;
     for n in 0.. {
         if stopped.load(Ordering::SeqCst) {
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -30,8 +30,10 @@
     item: Option<Item>,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct State {
+    /// Number of times that the store came back from an older copy.
+    restorations: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<Event>,
@@ -120,6 +122,9 @@
     }
 }
 
+/// An older copy of a store.
+pub struct StoreCopy(State);
+
 /// The store.
 #[derive(Default)]
 pub struct Store {
@@ -127,6 +132,8 @@
     changed: Condvar,
     /// Number of transactions that were done.
     writes: AtomicU64,
+    /// Whether the store is away: all calls are rejected with 503 and waiting watches are cut.
+    away: AtomicBool,
 }
 
 impl Store {
@@ -166,29 +173,44 @@
         self.changed.notify_all();
     }
 
-    /// Writes several keys in one transaction, as the operator may.
-    pub fn write_together(&self, entries: &[(&str, &str)]) {
-        let mut state = self.state.lock().unwrap();
-        let revision = state.revision + 1;
-        for (key, text) in entries {
-            state.revision = revision - 1;
-            state.put(key, &encode_base64(text.as_bytes()), 0);
-        }
-        drop(state);
-        self.changed.notify_all();
-    }
-
     /// Number of transactions of daemons that were done.
     pub fn writes(&self) -> u64 {
         self.writes.load(Ordering::SeqCst)
     }
 
+    /// Begins a time in which the store is away.
+    pub fn leave(&self) {
+        self.away.store(true, Ordering::SeqCst);
+    }
+
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().unwrap().clone())
+    }
+
+    /// Comes back from an older copy. Leases of the copy run from now on.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        let restorations = state.restorations + 1;
+        *state = State { restorations, ..copy.0 };
+        for (ttl, ends) in state.leases.values_mut() {
+            *ends = Instant::now() + *ttl;
+        }
+        self.away.store(false, Ordering::SeqCst);
+    }
+
     /// Keys with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
         state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Removes a key, as the operator does.
+    pub fn delete(&self, key: &str) {
+        self.state.lock().unwrap().remove(key);
+        self.changed.notify_all();
+    }
+
     fn serve(self: &Arc<Self>, stream: TcpStream, entrance: &Entrance) {
         let Ok(mut out) = stream.try_clone() else { return };
         let _ = out.set_nodelay(true);
@@ -208,10 +230,15 @@
                     return;
                 }
             }
-            let Some((status, body)) = self.respond(&message, entrance) else { return };
+            let answer = match self.away.load(Ordering::SeqCst) {
+                true => Some((503, "{}".to_owned())),
+                false => self.respond(&message, entrance),
+            };
+            let Some((status, body)) = answer else { return };
+            let era = 1 + self.state.lock().unwrap().restorations;
             sleep(entrance.answer_time());
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             if out.write_all((head + &body).as_bytes()).is_err() {
@@ -273,6 +300,9 @@
     fn watch(&self, prefix: &str, after: u64, wait: Duration, entrance: &Entrance) -> Option<(u16, String)> {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
+        if after > state.revision {
+            return Some((410, "{}".to_owned()));
+        }
         loop {
             let found: Vec<String> = state
                 .events
@@ -288,7 +318,7 @@
             }
             entrance.watching_since.lock().unwrap().get_or_insert(Instant::now());
             state = self.changed.wait_timeout(state, left.min(CUT_CHECK)).unwrap().0;
-            if entrance.cut.swap(false, Ordering::SeqCst) {
+            if entrance.cut.swap(false, Ordering::SeqCst) || self.away.load(Ordering::SeqCst) {
                 *entrance.watching_since.lock().unwrap() = None;
                 return None;
             }
