--- a/review/rig-2/leaving_clients.rs
+++ b/review/rig-2/leaving_clients.rs
@@ -1,7 +1,7 @@
 //! Clients that send further safe requests before the first is answered, and leave before their deadline (rule GONE).
 
 use std::sync::Arc;
-use std::thread::sleep;
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 use crate::Outcome;
@@ -10,9 +10,13 @@
 use crate::record::Record;
 use crate::target::Work;
 
-/// Number of clients.
-const CLIENTS: usize = 10;
-/// Number of requests that each client sends at once.
+/// Number of clients that leave: a fifth of all, the share of the site's list of disruptions.
+const LEAVING: usize = 10;
+/// Number of clients that stay. Each sends one short request.
+const STAYING: usize = 40;
+/// Time that a target works on a short request.
+const SHORT_WORK: Duration = Duration::from_millis(50);
+/// Number of requests that each client that leaves sends at once.
 const REQUESTS: usize = 4;
 /// Time that a target works on a request: within the sheet's times, and below the timeout of the route.
 const WORK: Duration = Duration::from_millis(1_400);
@@ -27,10 +31,13 @@
 
 /// Plays the case. Returns whether the rule was broken.
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Outcome {
-    let deployment = Deployment::start(record, &BFH, |_| Work { time: WORK, bytes: 5_000 })?;
+    let deployment = Deployment::start(record, &BFH, |m| Work {
+        time: if m.target().starts_with("/saldo/short") { SHORT_WORK } else { WORK },
+        bytes: 5_000,
+    })?;
     sleep(Duration::from_millis(500));
     let mut clients = Vec::new();
-    for client in 0..CLIENTS {
+    for client in 0..LEAVING {
         let mut connection = Connection::open(&deployment.daemons[0].front)?;
         let ids: Vec<String> = (0..REQUESTS).map(|n| format!("c{client}-{n}")).collect();
         let text: String = ids
@@ -41,6 +48,12 @@
         record.line(&format!("client {client} sends {}", ids.join(" ")));
         clients.push((connection, ids));
     }
+    let staying: Vec<_> = (0..STAYING)
+        .map(|client| {
+            let front = deployment.daemons[0].front.clone();
+            spawn(move || stay(&front, client).unwrap_or(0))
+        })
+        .collect();
     let mut left_at = Vec::new();
     if has_trouble {
         sleep(PATIENCE);
@@ -59,6 +72,8 @@
         }
     }
     sleep(Duration::from_secs(5));
+    let answered = staying.into_iter().filter_map(|c| c.join().ok()).filter(|status| *status == 200).count();
+    record.line(&format!("{answered} of {STAYING} clients that stay got a 200"));
     let runs: Vec<_> = deployment.targets.iter().flat_map(|t| t.runs()).collect();
     let mut late = 0;
     let (mut at_work, mut would_last) = (0, 0);
@@ -78,5 +93,14 @@
     }
     record.line(&format!("{late} requests reached a target over half a second after their client had left"));
     record.line(&format!("of {would_last} requests that lasted so long, {at_work} were still at work"));
+    println!("{late} requests reached a target late; {at_work} of {would_last} were still at work");
     Ok(late > FEW || (would_last > 0 && 4 * at_work > would_last))
 }
+
+/// Sends one short request and returns the status of the answer.
+fn stay(front: &str, client: usize) -> std::io::Result<u16> {
+    let mut connection = Connection::open(front)?;
+    let id = format!("short-{client}");
+    connection.send(&get(&format!("/saldo/{id}"), &id, &id, DEADLINE_MS))?;
+    Ok(read_message(&mut connection.reader)?.status())
+}
