--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -12,6 +12,7 @@
 mod leaving_clients;
 mod missed_change;
 mod record;
+mod shared_transaction;
 mod slow_readers;
 mod store;
 mod target;
@@ -50,6 +51,8 @@
         "late-registration" => late_registration::play(&record, has_trouble),
         "leaving-clients" => leaving_clients::play(&record, has_trouble),
         "missed-change" => missed_change::play(&record, has_trouble),
+        // No case: see the report.
+        "shared-transaction" => shared_transaction::play(&record, has_trouble),
         "slow-readers" => slow_readers::play(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -173,6 +173,18 @@
         self.changed.notify_all();
     }
 
+    /// Writes several keys in one transaction.
+    pub fn write_together(&self, entries: &[(&str, &str)]) {
+        let mut state = self.state.lock().unwrap();
+        let before = state.revision;
+        for (key, text) in entries {
+            state.revision = before;
+            state.put(key, &encode_base64(text.as_bytes()), 0);
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Number of transactions of daemons that were done.
     pub fn writes(&self) -> u64 {
         self.writes.load(Ordering::SeqCst)
