review: case 10 judges a daemon in touch and works for the sheet's mean

Its clients left half a second after the daemon's start, when it doesn't count as in touch, and its targets worked for 1.4 s where the sheet's mean is 0.75 s. Now the daemon runs for 4.5 s first and the work is 0.75 s.

--- a/review/rig-2/leaving_clients.rs
+++ b/review/rig-2/leaving_clients.rs
@@ -12,30 +12,27 @@
 
 /// Number of clients that leave: a fifth of all, the share of the site's list of disruptions.
 const LEAVING: usize = 10;
-/// Number of clients that stay. Each sends one short request.
+/// Number of clients that stay. Each sends one request.
 const STAYING: usize = 40;
-/// Time that a target works on a short request.
-const SHORT_WORK: Duration = Duration::from_millis(50);
 /// Number of requests that each client that leaves sends at once.
 const REQUESTS: usize = 4;
-/// Time that a target works on a request: within the sheet's times, and below the timeout of the route.
-const WORK: Duration = Duration::from_millis(1_400);
+/// Time that a target works on a request: the mean of the sheet.
+const WORK: Duration = Duration::from_millis(750);
 /// Deadline of the clients.
 const DEADLINE_MS: u64 = 4_000;
 /// Time after which the clients leave: half of the objective, the usual value of the disruption.
 const PATIENCE: Duration = Duration::from_millis(300);
 /// Time after a close from which the rule counts.
 const SLACK: Duration = Duration::from_millis(500);
+/// Time after the start of a daemon from which it is in touch (`contact`, 4 s), and a little more.
+const CONTACT: Duration = Duration::from_millis(4_500);
 /// "A few" requests.
 const FEW: usize = 3;
 
 /// Plays the case. Returns whether the rule was broken.
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Outcome {
-    let deployment = Deployment::start(record, &BFH, |m| Work {
-        time: if m.target().starts_with("/saldo/short") { SHORT_WORK } else { WORK },
-        bytes: 5_000,
-    })?;
-    sleep(Duration::from_millis(500));
+    let deployment = Deployment::start(record, &BFH, |_| Work { time: WORK, bytes: 5_000 })?;
+    sleep(CONTACT);
     let mut clients = Vec::new();
     for client in 0..LEAVING {
         let mut connection = Connection::open(&deployment.daemons[0].front)?;
@@ -97,10 +94,10 @@
     Ok(late > FEW || (would_last > 0 && 4 * at_work > would_last))
 }
 
-/// Sends one short request and returns the status of the answer.
+/// Sends one request and returns the status of the answer.
 fn stay(front: &str, client: usize) -> std::io::Result<u16> {
     let mut connection = Connection::open(front)?;
-    let id = format!("short-{client}");
+    let id = format!("stay-{client}");
     connection.send(&get(&format!("/saldo/{id}"), &id, &id, DEADLINE_MS))?;
     Ok(read_message(&mut connection.reader)?.status())
 }
