--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -38,7 +38,7 @@
 pub const BFH: Site = Site {
     zones: &[("gent-a", "vlaanderen"), ("antwerpen-b", "vlaanderen")],
     daemons: &[("front-gent-a-1", "gent-a")],
-    targets: &["gent-a"; 4],
+    targets: &["gent-a"; 10],
     service: "saldo",
     slots: 6,
     vm: "cpu_share = 0.5\ncore_speed = 1\nlink_mbps = 200.0\nmemory_mb = 512\nmax_fds = 8192",
@@ -73,9 +73,12 @@
         ("front-lit-a-1", "lit-a"),
         ("front-nor-a-1", "nor-a"),
     ],
-    targets: &["mvd-a", "mvd-a", "mvd-b", "mvd-b", "lit-a", "nor-a"],
+    targets: &[
+        "mvd-a", "mvd-a", "mvd-a", "mvd-b", "mvd-b", "mvd-b", "lit-a", "lit-a", "lit-a", "nor-a", "nor-a",
+        "nor-a",
+    ],
     service: "autoriza",
-    slots: 8,
+    slots: 4,
     vm: "cpu_share = 0.5\ncore_speed = 1\nlink_mbps = 200.0\nmemory_mb = 512\nmax_fds = 8192",
     limits: "grace = 6s\nconfig_apply = 3000ms\ndrain = 3000ms\nmax_shift = 0.15\nretry_ratio = 0.2\n\
              retry_window = 10s\nretry_slack = 166\ncold_overrun = 1.5\ncold_slack = 8\nquota_window = 5s\n\
--- a/review/rig-2/slow_readers.rs
+++ b/review/rig-2/slow_readers.rs
@@ -15,8 +15,9 @@
 const CLIENTS: usize = 8;
 /// Size of an answer, within the sizes of the sheet's downloads.
 const BYTES: usize = 500_000;
-/// Time that a target works on a request.
-const WORK: Duration = Duration::from_millis(300);
+/// Time that a target works on a download and on a small request: the means of the sheet.
+const WORK: Duration = Duration::from_millis(610);
+const SMALL_WORK: Duration = Duration::from_millis(750);
 /// Deadline of the clients.
 const DEADLINE_MS: u64 = 4_000;
 /// Time for which a client doesn't read.
@@ -29,7 +30,7 @@
 /// Plays the case. Returns whether the rule was broken.
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Outcome {
     let mut deployment = Deployment::start(record, &BFH, |m| Work {
-        time: WORK,
+        time: if m.target().starts_with("/tarief/") { WORK } else { SMALL_WORK },
         bytes: if m.target().starts_with("/tarief/") { BYTES } else { 1_000 },
     })?;
     sleep(Duration::from_secs(5));
@@ -58,7 +59,7 @@
     };
     let clients = (0..CLIENTS).map(start).collect();
     // The first request of each client takes the work of a target.
-    sleep(WORK + WORK / 2);
+    sleep(SMALL_WORK + WORK / 2);
     clients
 }
 
