Apply evacuations and entries of daemons that are written right after a restoration

After a restoration of the key-value service, an entry up to the revision of a daemon's first listing was taken for a part of the copy and withheld if its key had been withdrawn, also if it had been written between the restoration and that listing. Event 566 named the evacuation, with a revision not above that of event 564.

The copy's revision can't be known, so the contents of an entry decide. An evacuation is always applied. The entry of a daemon has the era in which it was written. The entry of a server has a start time and a sequence number, as before.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -74,6 +74,9 @@
     /// Requests during which a backend server crashed, as this daemon observed. Absent means none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
+    /// Era of the key-value service in which the entry was written. Zero if the service reports none.
+    #[serde(default)]
+    pub era: Era,
 }
 
 /// This daemon and the others that have an entry in the key-value service.
@@ -96,6 +99,7 @@
             capacity: cfg.capacity,
             peers: cfg.peer_address,
             crashes: Vec::new(),
+            era: Era::default(),
         };
         Self { local_name: cfg.name.clone(), local, others: BTreeMap::new(), peer_addresses: BTreeMap::new() }
     }
@@ -376,7 +380,7 @@
     crashes: Vec<Crash>,
 ) -> Result<Registration, StoreError> {
     let (key, era) = (format!("{MEMBER_PREFIX}{}", shared.cfg.name), store.era());
-    let local = Member { crashes: crashes.clone(), ..shared.members.borrow().local.clone() };
+    let local = Member { crashes: crashes.clone(), era, ..shared.members.borrow().local.clone() };
     let value = serde_json::to_string(&local).map_err(StoreError::new)?;
     let outcome = store.put(&key, &value, Precondition::Any, Some(lease)).await;
     count_call(shared, "put", matches!(outcome, WriteOutcome::Done(_)));
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -2,7 +2,8 @@
 //!
 //! A restoration begins a new era. Revisions of different eras are not comparable, so the first listing of an era is accepted
 //! as a whole, with two exceptions. A key that this daemon knows to be withdrawn is withheld until it is written again, because
-//! the copy may date from before the withdrawal. A key that is missing is kept for a grace period, because the copy may date
+//! the copy may date from before the withdrawal. The revision of the copy is not known, so an entry that was written between
+//! the restoration and the listing is withheld as well, unless the caller sees from its contents that it is new. A key that is missing is kept for a grace period, because the copy may date
 //! from before it was written and its owner writes it again.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,7 +28,7 @@
     Copied,
     /// A newer revision of the key is known.
     Outdated,
-    /// The entry comes from an older copy of the service, and this daemon knows that its key was withdrawn since.
+    /// This daemon knows that the key of the entry was withdrawn, and the entry may come from an older copy of the service.
     Withheld,
 }
 
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -321,8 +321,7 @@
         if verdict == Verdict::Outdated {
             return;
         }
-        let is_member = entry.key.starts_with(MEMBER_PREFIX);
-        if verdict != Verdict::Apply && !self.may_apply_copy(shared, &entry, verdict, is_member) {
+        if verdict != Verdict::Apply && !self.may_apply_copy(shared, &entry, verdict) {
             slog::info!(shared.events.logger(), "entry of an older copy withheld"; "code" => 566,
                 "key" => &*entry.key, "revision" => entry.revision.0);
             return;
@@ -331,8 +330,7 @@
             if entry.value.is_none() {
                 self.view.borrow_mut().record_withdrawal(shared.now(), &entry.key);
             }
-            let member = entry.value.as_deref().and_then(|text| serde_json::from_str(text).ok());
-            self.apply_member(shared, name, entry.revision, member);
+            self.apply_member(shared, name, entry.revision, parse_member(&entry));
             return;
         }
         match shared.adapter.parse_entry(&entry) {
@@ -374,30 +372,29 @@
         }
     }
 
-    /// Whether an entry of an older copy of the service is applied. The entry of a server is compared with what is known of the
-    /// server. Another entry is applied unless its key was withdrawn.
-    fn may_apply_copy<A: Adapter>(
-        &self,
-        shared: &Shared<A>,
-        entry: &Entry,
-        verdict: Verdict,
-        is_member: bool,
-    ) -> bool {
+    /// Whether an entry is applied that may come from an older copy of the service. It may as well have been written between the
+    /// restoration and the listing, so that its revision does not tell; its contents decide.
+    fn may_apply_copy<A: Adapter>(&self, shared: &Shared<A>, entry: &Entry, verdict: Verdict) -> bool {
         let is_withheld = verdict == Verdict::Withheld;
-        if is_member {
-            return !is_withheld;
-        }
-        let StoreUpdate::Server(_, Some(server)) = shared.adapter.parse_entry(entry) else {
-            return !is_withheld;
+        let is_applied = match shared.adapter.parse_entry(entry) {
+            StoreUpdate::Server(_, Some(server)) if is_withheld => {
+                shared.steering.borrow().supersedes_departure(&server)
+            }
+            StoreUpdate::Server(_, Some(server)) => shared.steering.borrow().accepts_copy(&server),
+            // Nothing tells a new evacuation from an old one. Its servers are spared until the operator's deletion is restored.
+            StoreUpdate::Evacuation(..) => true,
+            _ => !is_withheld || self.is_registered_in_era(entry),
         };
-        if !is_withheld {
-            return shared.steering.borrow().accepts_copy(&server);
-        }
-        let supersedes = shared.steering.borrow().supersedes_departure(&server);
-        if supersedes {
+        if is_withheld && is_applied {
             self.view.borrow_mut().accept(entry);
         }
-        supersedes
+        is_applied
+    }
+
+    /// Whether an entry is that of a daemon which wrote it in the current era of the service.
+    fn is_registered_in_era(&self, entry: &Entry) -> bool {
+        entry.key.starts_with(MEMBER_PREFIX)
+            && parse_member(entry).is_some_and(|member| member.era == self.view.borrow().era())
     }
 
     /// Applies the entry of another daemon and the crashes that it reports.
@@ -453,6 +450,11 @@
     }
 }
 
+/// Reads the entry of a daemon. `None` if it was deleted or is malformed.
+fn parse_member(entry: &Entry) -> Option<Member> {
+    entry.value.as_deref().and_then(|text| serde_json::from_str(text).ok())
+}
+
 /// Timeout of the next watch. Nothing shows that the response to a watch was lost, so a watch lasts no longer than a change
 /// may take. After a failure it returns at once, so that its revision tells the changes of the outage from later ones.
 fn watch_timeout<A: Adapter>(shared: &Shared<A>, source: Source) -> Duration {
