Remember withdrawn servers for as long as their keys are withheld

A server that had left more than 60 s before a restoration of the key-value service, and restarted under its name before a daemon's listing, could not be told from the older copy: its key was withheld for 300 s, what was known of it forgotten after 60 s. The service reports an entry only when more than its sequence number changes, so the server could stay unused.

Both now use one retention of 300 s. The new test fails before (false for a restart after 290 s) and passes with it; the tests of state and gateway pass.

--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -7,15 +7,12 @@
 //! from before it was written and its owner writes it again.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use medlarstair_state::config::Entry;
 use medlarstair_state::id::{Era, Revision};
+use medlarstair_state::steering::departures::WITHDRAWAL_RETENTION;
 use medlarstair_state::time::Timestamp;
 
-/// Retention of a withdrawal: longer than an outage with a restoration and the age of the copy together.
-const WITHDRAWAL_RETENTION: Duration = Duration::from_secs(300);
-
 /// Maximum number of retained withdrawals. The oldest one is dropped first.
 const MAX_WITHDRAWALS: usize = 8_192;
 
--- a/crates/state/src/steering/departures.rs
+++ b/crates/state/src/steering/departures.rs
@@ -15,8 +15,9 @@
 /// Maximum delay of a late write. An entry that looks older after it is that of a server whose clock was set back.
 const LATE_WRITE_WINDOW: Duration = Duration::from_secs(15);
 
-/// Retention of what is known of a server whose entry is gone.
-const RETENTION: Duration = Duration::from_secs(60);
+/// Retention of what is known of a server whose entry is gone: longer than an outage of the key-value service, with a
+/// restoration, and the age of the copy together. The key of a withdrawn entry is withheld for as long.
+pub const WITHDRAWAL_RETENTION: Duration = Duration::from_secs(300);
 
 /// Position of an entry among those of its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,7 +95,7 @@
 
     /// Removes outdated records.
     pub fn expire(&mut self, now: Timestamp) {
-        self.departures.retain(|_, d| now.since(d.at) < RETENTION);
+        self.departures.retain(|_, d| now.since(d.at) < WITHDRAWAL_RETENTION);
     }
 }
 
--- a/crates/state/tests/steering_departures.rs
+++ b/crates/state/tests/steering_departures.rs
@@ -69,6 +69,18 @@
     assert!(is_used(&mut steering, 42_000), "it has restarted");
 }
 
+/// Guards against a server that is not used after a restoration of the key-value service: it left minutes before and has
+/// restarted since, but what it was is forgotten while its key is still withheld.
+#[test]
+fn a_restart_is_recognized_for_as_long_as_the_key_is_withheld() {
+    let mut steering = steering();
+    steering.remove_server(&"s-0".parse().unwrap(), ms(1_000));
+    for (now, expected) in [(290_000, true), (302_000, false)] {
+        steering.tick(ms(now));
+        assert_eq!(steering.supersedes_departure(&listed(2, 0, false)), expected, "at {now} ms");
+    }
+}
+
 /// Guards against a server that is not used any more because its clock was set back before it restarted.
 #[test]
 fn an_entry_with_an_earlier_start_is_applied_after_some_time() {
