Notice that a client has left behind bytes of further requests

The HTTP library notices the end of a connection only by reading, and reads nothing while it holds bytes of a further request. So the first request ran to its end, and those behind it were passed on.

The task of a connection now waits for its end apart from the library: the operating system reports it also while bytes are unread. The stream is shared by both, and reads and writes go through readiness and non-blocking calls. A response that is ready is sent before the end counts.

Tests of pipelines, stops, serving and untrusted clients pass.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -13,6 +13,7 @@
 
 use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase};
 use medlarstair_transport::clock::BootClock;
+use medlarstair_transport::http1::finish_writes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -192,17 +193,17 @@
     left: usize,
 }
 
-/// The stream of a client connection, which records its progress.
+/// The stream of a client connection, which records its progress. The connection's task also watches the stream for its end.
 #[derive(Debug)]
 pub struct ClientStream {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     client: Rc<Client>,
     linger: Option<Linger>,
 }
 
 impl ClientStream {
     /// Wraps the stream of a connection.
-    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
         Self { stream, client, linger: None }
     }
 
@@ -214,7 +215,7 @@
         let mut scratch = [0; DISCARD_BUFFER_BYTES];
         while linger.left > 0 && linger.ends.as_mut().poll(cx).is_pending() {
             let mut buf = ReadBuf::new(&mut scratch);
-            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+            match ready!(poll_read(&self.stream, cx, &mut buf)) {
                 Ok(()) if !buf.filled().is_empty() => {
                     linger.left = linger.left.saturating_sub(buf.filled().len());
                 }
@@ -225,14 +226,37 @@
     }
 }
 
+/// Reads from a stream that others hold as well.
+fn poll_read(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read_buf(buf) {
+            Ok(_) => return Poll::Ready(Ok(())),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Poll::Ready(Err(e)),
+        }
+    }
+}
+
+/// Writes to a stream that others hold as well.
+fn poll_write(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    write: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match write(stream) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
 impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(poll_read(&self.stream, cx, buf))?;
         if buf.filled().len() > before {
             self.client.record_read();
         }
@@ -241,18 +265,18 @@
 }
 
 impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.stream).poll_write(cx, data))?;
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let n = ready!(poll_write(&self.stream, cx, |stream| stream.try_write(data)))?;
         self.client.record_written(n);
         Poll::Ready(Ok(n))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let n = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, data))?;
+        let n = ready!(poll_write(&self.stream, cx, |stream| stream.try_write_vectored(data)))?;
         self.client.record_written(n);
         Poll::Ready(Ok(n))
     }
@@ -261,13 +285,14 @@
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket has no buffer in the process.
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            finish_writes(&self.stream)?;
         }
         if self.client.signals.lingers.get() {
             ready!(self.poll_discard(cx));
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,6 +1,8 @@
 //! Listeners and the connections that they accept.
 //!
 //! When a client disconnects, the future that handles its request is dropped, which cancels the work at the backend server.
+//! The HTTP library notices the end of a connection only by reading, and reads nothing while it holds bytes of a further
+//! request. The end is therefore watched for apart from it.
 
 use std::convert::Infallible;
 use std::io;
@@ -14,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use medlarstair_state::steering::ClientLimits;
-use medlarstair_transport::http1::{enable_dead_peer_detection, limit_socket_buffers};
+use medlarstair_transport::http1::{closed_by_peer, enable_dead_peer_detection, limit_socket_buffers};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
@@ -150,6 +152,7 @@
 ) -> io::Result<()> {
     enable_dead_peer_detection(&stream)?;
     limit_socket_buffers(&stream, SOCKET_BUFFER_BYTES)?;
+    let stream = Rc::new(stream);
     let limits = shared.steering.borrow().plan().map_or_else(ClientLimits::default, |p| p.limits);
     let service = service_fn(|mut req: Request<Incoming>| {
         let (shared, client) = (Rc::clone(shared), Rc::clone(client));
@@ -166,10 +169,12 @@
         // A connection that is opened during a graceful shutdown serves a single request.
         .keep_alive(shared.phase() == Phase::Serving)
         .max_buf_size((2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(ClientStream::new(stream, Rc::clone(client))), service);
+        .serve_connection(TokioIo::new(ClientStream::new(Rc::clone(&stream), Rc::clone(client))), service);
     let mut conn = pin!(conn);
     loop {
         tokio::select! {
+            // A response that is ready is sent first.
+            biased;
             ended = conn.as_mut() => return ended.map_err(io::Error::other),
             cause = client.cut() => {
                 shared.metrics.limits.with_label_values(&[cause.name()]).inc();
@@ -180,6 +185,7 @@
                 return Ok(());
             }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
+            () = closed_by_peer(&stream) => return Ok(()),
         }
     }
 }
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -8,7 +8,7 @@
 //! network partition would otherwise reach the server after the partition, seconds after its client was told of the failure.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 use hyper::{Request, Response, header};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -170,6 +171,29 @@
     set_user_timeout(stream)
 }
 
+/// Completes when the peer has closed or reset the connection, also while bytes that it sent before are unread.
+///
+/// A read returns those bytes first, so that a reader which waits with further requests never sees the end behind them.
+pub async fn closed_by_peer(stream: &TcpStream) {
+    // The readiness of priority data includes the end of the stream, but not unread data.
+    match stream.ready(Interest::PRIORITY).await {
+        Ok(ready) if !ready.is_read_closed() => std::future::pending().await,
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Tells the peer that no more data follows.
+///
+/// # Errors
+///
+/// Any error of the socket, but not that the peer has reset the connection.
+pub fn finish_writes(stream: &TcpStream) -> io::Result<()> {
+    match SockRef::from(stream).shutdown(Shutdown::Write) {
+        Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+        result => result,
+    }
+}
+
 /// Limits the kernel's buffers of a connection to `bytes` in each direction. By default they grow to several MB, which no
 /// budget of the process counts.
 ///
