Announce all changes of a watch to the followers of a relay

The relay now announces all changes of the response. It does so only if one of them is new to it, so the number of announcements stays.

--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -204,11 +204,12 @@
         let applied = known.max(watched);
         self.applied.set(applied);
         shared.store_relay.borrow_mut().record_fetched(applied);
-        let changes = newer_than(known, listing.entries);
-        if !changes.is_empty() {
-            self.announce_changes(shared, after, watched, &changes);
+        if listing.entries.iter().any(|entry| entry.revision > known.revision) {
+            // All changes, also those that another relay has announced to this one: it may have announced nothing then, and a
+            // daemon that is still at `after` takes the announcement as complete.
+            self.announce_changes(shared, after, watched, &listing.entries);
         }
-        self.apply_entries(shared, changes);
+        self.apply_entries(shared, newer_than(known, listing.entries));
     }
 
     /// Handles an announcement of a relay.
