--- a/crates/gateway/src/store_relay.rs
+++ b/crates/gateway/src/store_relay.rs
@@ -168,8 +168,8 @@
     names.max_by_key(|name| (rapidhash_v3(name.as_bytes()), *name))
 }
 
-/// Splits changes into announcements whose entries have at most `max_bytes` together. Changes that do not fit are left out, so
-/// that the others fetch them.
+/// Splits changes into announcements whose entries have at most `max_bytes` together. A revision with a change that does not fit,
+/// and what follows, are left out, so that the others fetch them.
 ///
 /// ```
 /// use medlarstair_gateway::store_relay::{Position, split};
@@ -193,6 +193,8 @@
     for entry in changes {
         let size = encoded_size(&entry);
         if size > max_bytes {
+            // The others take a part as complete up to its last revision.
+            part.changes.retain(|e| e.revision < entry.revision);
             finish_part(&mut parts, part);
             return finish_with_gap(parts, end);
         }
--- a/crates/gateway/tests/store_relay.rs
+++ b/crates/gateway/tests/store_relay.rs
@@ -78,3 +78,21 @@
     }
     assert_eq!(applied, at(1, 120));
 }
+
+/// Guards against a change that is too large for an announcement, and lost because another one of the same transaction, and so
+/// of the same revision, is announced.
+#[test]
+fn a_revision_is_announced_as_a_whole_or_not_at_all() {
+    let large = |key: &str| Entry { key: key.into(), value: Some("x".repeat(600).into()), ..entry(12) };
+    for changes in [vec![entry(11), entry(12), large("a")], vec![large("a"), entry(11), entry(12)]] {
+        let mut relay = StoreRelay::default();
+        let mut applied = at(1, 10);
+        for part in split(Revision(10), at(1, 12), changes, 500) {
+            if relay.receive(NOW, true, &part, applied) == Reaction::Apply {
+                applied = part.position;
+            }
+        }
+        assert_eq!(applied, at(1, 11));
+        assert_eq!(relay.source(NOW, true, applied), Source::Fetch);
+    }
+}
