Keep a daemon listed despite late writes of its entry

The response to a daemon's registration was lost, so it registered again under a new lease. The first write was carried out later, replaced the second and ended with the first lease. The daemon went on renewing the second lease, took that for a proof of its entry and ignored what its watch reported of it; the others chose another coordinator.

What the watch and listings report of the entry is compared with the own writes: an entry that is gone or not the daemon's own is written again, and the daemon coordinates no quota while it is gone. The code that keeps the entry moves from membership to registration; own_entry holds the decisions.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -19,12 +19,12 @@
 use crate::config::Config;
 use crate::eventlog::EventLog;
 use crate::ingress::{self, ACCEPT_GRACE_PERIOD, ListenerRole};
-use crate::membership::maintain_registration;
 use crate::metrics::Metrics;
 use crate::notices;
 use crate::peers;
 use crate::probe;
 use crate::quota;
+use crate::registration::maintain_registration;
 use crate::shared::{Shared, Shutdown};
 use crate::store_watcher::StoreWatcher;
 
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,11 +1,7 @@
-//! Membership of the daemons in a deployment.
-//!
-//! Each daemon keeps an entry in the key-value service under a lease, so that the service deletes the entry if the daemon
-//! fails.
+//! Membership of the daemons in a deployment, as their entries in the key-value service tell it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use medlarstair_state::id::{Domain, Era, Region};
@@ -13,43 +9,14 @@
 use medlarstair_state::steering::engine::DaemonCounts;
 use medlarstair_state::steering::poison::Crash;
 use medlarstair_state::steering::quota::{DaemonKey, QuotaDaemon};
-use medlarstair_transport::kv::{LeaseId, Precondition, RenewableLeaseStore, StoreError, WriteOutcome};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
 
-use crate::adapter::Adapter;
 use crate::config::Config;
-use crate::eventlog::log_store_failure;
-use crate::shared::{Phase, Shared};
 use crate::store_relay::choose_relay;
 
 /// Prefix of the keys of daemons. The name of the daemon follows.
 pub const MEMBER_PREFIX: &str = "medlarstair/daemon/";
 
-/// TTL of the lease under which a daemon keeps its entry. The service deletes the entry when the TTL has passed since the
-/// last renewal. Two renewals may time out before one succeeds.
-const LEASE_TTL: Duration = Duration::from_millis(4_500);
-
-/// TTL of the lease if the daemons exchange messages, so that most of them renew it rarely.
-const RELAYED_LEASE_TTL: Duration = Duration::from_millis(5_000);
-
-/// Interval between renewals of the lease. They also show whether the service responds.
-const RENEWAL_PERIOD: Duration = Duration::from_millis(900);
-
-/// Interval between renewals of a daemon whose relay announces that the service responds. Two renewals without a response
-/// end 4.65 s after the last one with a response, within [`RELAYED_LEASE_TTL`].
-const FOLLOWER_RENEWAL_PERIOD: Duration = Duration::from_millis(2_250);
-
-/// Interval before a failed renewal is repeated. It bounds how late the end of an outage is noticed.
-const RENEWAL_RETRY_PERIOD: Duration = Duration::from_millis(300);
-
-/// Timeout for a renewal of the lease, including a report of crashes.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// Timeout for a report of crashes. It leaves time for the renewal itself within [`RENEWAL_TIMEOUT`].
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// TTL of the response to a look-up in the caches of clients.
 pub const LOOKUP_TTL: Duration = Duration::from_secs(1);
 
@@ -104,24 +71,27 @@
         Self { local_name: cfg.name.clone(), local, others: BTreeMap::new(), peer_addresses: BTreeMap::new() }
     }
 
-    /// Applies an entry. `member` is `None` if the entry was deleted or is malformed. The entry of this daemon is ignored.
+    /// Applies the entry of another daemon. `member` is `None` if the entry was deleted or is malformed.
     pub fn apply(&mut self, name: &str, member: Option<Member>) {
-        if *name != *self.local_name {
-            let key = DaemonKey::from_name(name);
-            match member.as_ref().and_then(|m| m.peers) {
-                Some(address) => self.peer_addresses.insert(key, address),
-                None => self.peer_addresses.remove(&key),
-            };
-        }
+        let key = DaemonKey::from_name(name);
+        match member.as_ref().and_then(|m| m.peers) {
+            Some(address) => self.peer_addresses.insert(key, address),
+            None => self.peer_addresses.remove(&key),
+        };
         match member {
-            _ if *name == *self.local_name => {}
-            Some(member) => {
-                self.others.insert(name.into(), member);
-            }
-            None => {
-                self.others.remove(name);
-            }
-        }
+            Some(member) => self.others.insert(name.into(), member),
+            None => self.others.remove(name),
+        };
+    }
+
+    /// Name of this daemon.
+    pub fn local_name(&self) -> &str {
+        &self.local_name
+    }
+
+    /// The entry of this daemon with what it has to report.
+    pub fn local_entry(&self, crashes: Vec<Crash>, era: Era) -> Member {
+        Member { crashes, era, ..self.local.clone() }
     }
 
     /// Whether this daemon watches the key-value service for its failure domain, or exchanges no messages.
@@ -226,168 +196,3 @@
         kept.take(MAX_LOOKUP_ADDRESSES).collect()
     }
 }
-
-/// Maintains the entry of this daemon until a graceful shutdown begins, and then deletes it. `store_recovered` is notified
-/// when the service responds again after an outage.
-pub async fn maintain_registration<A: Adapter, S: RenewableLeaseStore>(
-    shared: Rc<Shared<A>>,
-    store: Rc<S>,
-    store_recovered: Rc<Notify>,
-) {
-    let mut registration: Option<Registration> = None;
-    let mut failing = false;
-    let mut era = store.era();
-    while shared.phase() == Phase::Serving {
-        // Created before the renewal, so that a shutdown that begins during it is not missed.
-        let shutdown_started = shared.shutdown_started.notified();
-        let store_restored = shared.store_restored.notified();
-        let called_at = shared.now();
-        let result = timeout(RENEWAL_TIMEOUT, renew(&shared, &*store, registration.as_ref())).await;
-        let renewed = match result.map_err(StoreError::new).flatten() {
-            Ok(renewed) => {
-                registration = Some(renewed);
-                true
-            }
-            Err(e) => {
-                log_store_failure(&shared, &e);
-                false
-            }
-        };
-        if renewed {
-            shared.quotas.borrow_mut().record_registration(called_at);
-            shared.store_outage.borrow_mut().record_response(shared.now());
-        } else {
-            shared.store_outage.borrow_mut().record_failure();
-        }
-        let known_era = std::mem::replace(&mut era, store.era());
-        if known_era != era && known_era != Era::default() {
-            // A pending watch may wait for revisions that the restored service does not have.
-            store_recovered.notify_waiters();
-        }
-        if renewed && failing {
-            slog::info!(shared.events.logger(), "key-value service answers again"; "code" => 561);
-            store_recovered.notify_waiters();
-        }
-        if !renewed && !failing {
-            slog::warn!(shared.events.logger(), "key-value service does not answer"; "code" => 560);
-        }
-        failing = !renewed;
-        tokio::select! {
-            () = wait_for_renewal(&shared, registration.as_ref(), renewed) => {}
-            () = shutdown_started => {}
-            () = store_restored => {}
-        }
-    }
-    // The restored service may have given the number of an earlier era's lease to another daemon.
-    if let Some(registration) = registration.filter(|r| r.era == store.era())
-        && let Err(e) = store.revoke_lease(registration.lease).await
-    {
-        slog::warn!(shared.events.logger(), "own entry was not deleted"; "code" => 562, "cause" => %e);
-    }
-}
-
-/// Waits until the next renewal is due. A daemon whose relay announces that the service responds renews rarely, unless it has a
-/// crash to report.
-async fn wait_for_renewal<A: Adapter>(
-    shared: &Shared<A>,
-    registration: Option<&Registration>,
-    renewed: bool,
-) {
-    if !renewed {
-        return sleep(RENEWAL_RETRY_PERIOD).await;
-    }
-    let mut waited = Duration::ZERO;
-    while waited < FOLLOWER_RENEWAL_PERIOD {
-        let step = RENEWAL_PERIOD.min(FOLLOWER_RENEWAL_PERIOD - waited);
-        sleep(step).await;
-        waited += step;
-        if !shared.follows_relay() || registration.is_none_or(|r| r.lacks_crash(shared)) {
-            return;
-        }
-    }
-}
-
-/// The entry of this daemon as it was last written.
-#[derive(Debug, Clone)]
-struct Registration {
-    lease: LeaseId,
-    /// Era in which the lease was granted.
-    era: Era,
-    crashes: Vec<Crash>,
-}
-
-impl Registration {
-    /// Whether a crash is to be reported that the entry lacks.
-    fn lacks_crash<A: Adapter>(&self, shared: &Shared<A>) -> bool {
-        let crashes = shared.steering.borrow().recent_crashes(shared.now());
-        crashes.iter().any(|crash| !self.crashes.contains(crash))
-    }
-}
-
-/// Renews the lease, or creates a lease and the entry if there is none. The entry is rewritten if it lacks a crash that is
-/// to be reported.
-async fn renew<A: Adapter, S: RenewableLeaseStore>(
-    shared: &Shared<A>,
-    store: &S,
-    registration: Option<&Registration>,
-) -> Result<Registration, StoreError> {
-    let crashes = shared.steering.borrow().recent_crashes(shared.now());
-    if let Some(registration) = registration.filter(|r| r.era == store.era())
-        && renew_lease(shared, store, registration.lease).await?
-        && registration.era == store.era()
-    {
-        if !registration.lacks_crash(shared) {
-            return Ok(registration.clone());
-        }
-        let written =
-            timeout(REPORT_TIMEOUT, write_registration(shared, store, registration.lease, crashes)).await;
-        let cause = match written {
-            Ok(Ok(registration)) => return Ok(registration),
-            Ok(Err(e)) => e,
-            Err(e) => StoreError::new(e),
-        };
-        // The lease was renewed, so this is not an outage of the service. The next renewal retries the report.
-        log_store_failure(shared, &cause);
-        return Ok(registration.clone());
-    }
-    let ttl = if shared.cfg.peer_address.is_some() { RELAYED_LEASE_TTL } else { LEASE_TTL };
-    let granted = store.grant_lease(ttl).await;
-    count_call(shared, "grant", granted.is_ok());
-    write_registration(shared, store, granted?, crashes).await
-}
-
-async fn renew_lease<A: Adapter, S: RenewableLeaseStore>(
-    shared: &Shared<A>,
-    store: &S,
-    lease: LeaseId,
-) -> Result<bool, StoreError> {
-    let renewed = store.renew_lease(lease).await;
-    count_call(shared, "renew", renewed.is_ok());
-    renewed
-}
-
-/// Counts a call that concerns the own entry.
-fn count_call<A: Adapter>(shared: &Shared<A>, kind: &str, succeeded: bool) {
-    let result = if succeeded { "done" } else { "failed" };
-    shared.metrics.store_calls.with_label_values(&[kind, result]).inc();
-}
-
-/// Writes the entry of this daemon with the crashes under the lease.
-async fn write_registration<A: Adapter, S: RenewableLeaseStore>(
-    shared: &Shared<A>,
-    store: &S,
-    lease: LeaseId,
-    crashes: Vec<Crash>,
-) -> Result<Registration, StoreError> {
-    let (key, era) = (format!("{MEMBER_PREFIX}{}", shared.cfg.name), store.era());
-    let local = Member { crashes: crashes.clone(), era, ..shared.members.borrow().local.clone() };
-    let value = serde_json::to_string(&local).map_err(StoreError::new)?;
-    let outcome = store.put(&key, &value, Precondition::Any, Some(lease)).await;
-    count_call(shared, "put", matches!(outcome, WriteOutcome::Done(_)));
-    match outcome {
-        WriteOutcome::Done(_) => Ok(Registration { lease, era, crashes }),
-        WriteOutcome::Conflict(_) | WriteOutcome::Rejected | WriteOutcome::Unknown => {
-            Err(StoreError::new("the entry of this daemon was not written"))
-        }
-    }
-}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::membership::Members;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
+use crate::own_entry::OwnEntry;
 use crate::peers::PeerSocket;
 use crate::pool::Pool;
 use crate::store_outage::StoreOutage;
@@ -75,8 +76,10 @@
     pub events: EventLog,
     /// Notified when a graceful shutdown begins.
     pub shutdown_started: Notify,
-    /// Notified when the key-value service has been restored from an older copy, so that the own entry is written again.
-    pub store_restored: Notify,
+    /// What is known of the own entry in the key-value service.
+    pub own_entry: RefCell<OwnEntry>,
+    /// Notified when the own entry must be written again.
+    pub registration_due: Notify,
     clock: BootClock,
     shutdown: Cell<Option<Shutdown>>,
     open_connections: Cell<usize>,
@@ -105,7 +108,8 @@
             metrics,
             events,
             shutdown_started: Notify::new(),
-            store_restored: Notify::new(),
+            own_entry: RefCell::default(),
+            registration_due: Notify::new(),
             clock,
             shutdown: Cell::new(None),
             open_connections: Cell::new(0),
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -108,7 +108,12 @@
         count_call(shared, "list", &listed);
         let listing = listed?;
         let present: BTreeSet<&str> = listing.entries.iter().map(|e| &*e.key).collect();
+        let own_key = format!("{MEMBER_PREFIX}{}", shared.cfg.name);
+        let is_unlisted = !present.contains(&*own_key);
         let change = self.view.borrow_mut().begin_listing(listing.era, listing.revision, present);
+        if is_unlisted {
+            self.record_own_entry(shared, listing.revision, false);
+        }
         let revision = listing.revision;
         if change.is_restored {
             record_restoration(shared, &listing);
@@ -410,9 +415,27 @@
         slog::info!(shared.events.logger(), "daemon listed"; "code" => 520, "member" => name,
             "revision" => revision.0, "lives" => member.is_some(), "crashes" => crashes.len());
         shared.steering.borrow_mut().record_remote_crashes(shared.now(), crashes);
+        if *name == *shared.members.borrow().local_name() {
+            return self.record_own_entry(shared, revision, member.is_some());
+        }
         shared.members.borrow_mut().apply(name, member);
     }
 
+    /// Records what the service has as the entry of this daemon. If it is not what this daemon wrote, it is written again. While
+    /// it does not exist, no quota is coordinated, since the others do not list this daemon.
+    fn record_own_entry<A: Adapter>(&self, shared: &Shared<A>, revision: Revision, exists: bool) {
+        let position = Position { era: self.view.borrow().era(), revision };
+        if !shared.own_entry.borrow_mut().record_seen(position, exists) {
+            return;
+        }
+        slog::warn!(shared.events.logger(), "own entry is lost"; "code" => 521,
+            "revision" => revision.0, "exists" => exists);
+        if !exists {
+            shared.quotas.borrow_mut().record_removal();
+        }
+        shared.registration_due.notify_waiters();
+    }
+
     /// Removes a server whose entry was deleted. The removal is deferred if the entry may have expired because of an outage.
     fn server_deleted<A: Adapter>(&self, shared: &Shared<A>, id: Backend, entry: &Entry) {
         let (now, revision) = (shared.now(), entry.revision);
@@ -495,7 +518,7 @@
     shared.metrics.store_eras.with_label_values(&["later"]).inc();
     slog::warn!(shared.events.logger(), "key-value service was restored"; "code" => 564,
         "era" => listing.era.0, "revision" => listing.revision.0);
-    shared.store_restored.notify_waiters();
+    shared.registration_due.notify_waiters();
 }
 
 /// Counts a listing or watch by its result.
--- a/crates/state/src/steering/quota/engine.rs
+++ b/crates/state/src/steering/quota/engine.rs
@@ -84,6 +84,8 @@
     started_at: Timestamp,
     is_starting: bool,
     registered_at: Timestamp,
+    /// Whether the entry of this daemon is known to be lost.
+    is_unlisted: bool,
     quotas: HashMap<AccountKey, Quota>,
     daemons: Vec<QuotaDaemon>,
     fleet: QuotaFleet,
@@ -108,6 +110,7 @@
             started_at: now,
             is_starting: true,
             registered_at: now,
+            is_unlisted: false,
             quotas: HashMap::new(),
             daemons: Vec::new(),
             fleet: QuotaFleet::default(),
@@ -159,6 +162,13 @@
     /// Records that the service that lists the daemons confirmed the entry of this one, in answer to a call at `called_at`.
     pub fn record_registration(&mut self, called_at: Timestamp) {
         self.registered_at = self.registered_at.max(called_at);
+        self.is_unlisted = false;
+    }
+
+    /// Records that the entry of this daemon is lost. It grants no leases until the entry is confirmed again, since the others
+    /// choose another coordinator.
+    pub fn record_removal(&mut self) {
+        self.is_unlisted = true;
     }
 
     fn configure_holders(&mut self, now: Timestamp) {
@@ -387,6 +397,9 @@
     /// Whether this daemon may grant leases. One that is no longer listed must not, since another one may have taken over. If
     /// the list cannot be confirmed, a daemon that hears from most of the others is not cut off from them.
     fn may_coordinate(&self, now: Timestamp) -> bool {
+        if self.is_unlisted {
+            return false;
+        }
         if now.since(self.registered_at) < REGISTRATION_TTL {
             return true;
         }
--- a/crates/state/tests/quota.rs
+++ b/crates/state/tests/quota.rs
@@ -181,6 +181,28 @@
     assert!(served > 0.99, "{served}");
 }
 
+/// Guards against two coordinators of one quota: the entry of one of them is gone, so that the others report to another, but it
+/// hears from most of them.
+#[test]
+fn a_daemon_whose_entry_is_lost_grants_nothing_until_it_is_listed() {
+    let mut fleet = fleet();
+    let coordinator = fleet.coordinator();
+    let account = fleet.account.clone();
+    let mut outstanding_after = |seconds, is_off_store: bool| {
+        fleet.off_store = if is_off_store { [coordinator].into() } else { BTreeSet::new() };
+        fleet.run(secs(seconds), |_| USUAL);
+        let now = fleet.now;
+        let outstanding = fleet.quotas(coordinator).outstanding(now, &account);
+        if !is_off_store {
+            fleet.quotas(coordinator).record_removal();
+        }
+        outstanding
+    };
+    assert!(outstanding_after(1.0, false) > 0.0);
+    assert!(outstanding_after(2.5, true) <= 0.0);
+    assert!(outstanding_after(3.0, false) > 0.0);
+}
+
 /// Guards against a daemon that was paused and uses its lease afterwards, while others have it.
 #[test]
 fn a_paused_daemon_does_not_use_an_expired_lease() {
