Bound what a server may send before the head of its response

With two servers of one service that send them, in each of six forms, in responses to requests, retries and health checks, memory stays bounded, but interim responses (status 1xx) held up all others: the HTTP library passes over any number of them, so a request to a sound service got 504 after 4 s. Each connection was cut only by its deadline.

A server may now send 256 KiB up to the end of the head, interim responses included, and after 64 KiB without a pause other tasks get a turn.

--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -25,6 +25,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::server_stream::{HeadBudget, ServerStream};
+
 /// TCP user timeout: the connection is closed when sent data stays unacknowledged for longer. A network partition has
 /// no other indication. The timeout covers several retransmissions, so that single lost packets do not close a
 /// connection.
@@ -73,6 +75,7 @@
 pub struct ClientConnection<B = Full<Bytes>> {
     sender: SendRequest<B>,
     connection_task: JoinHandle<()>,
+    head_budget: HeadBudget,
     /// Whether the connection cannot be used for another request.
     closing: bool,
 }
@@ -99,13 +102,14 @@
         stream.set_zero_linger()?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream));
+        let head_budget = HeadBudget::default();
+        let handshake = builder.handshake(TokioIo::new(ServerStream::new(stream, head_budget.clone())));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let connection_task = tokio::spawn(async move {
             // An error is also returned by the exchange that it interrupts. An idle connection may end at any time.
             let _ = connection.await;
         });
-        Ok(Self { sender, connection_task, closing: false })
+        Ok(Self { sender, connection_task, head_budget, closing: false })
     }
 
     /// Returns whether another request can be sent.
@@ -139,7 +143,10 @@
     pub async fn send(&mut self, req: Request<B>) -> Result<Response<Incoming>, ExchangeError> {
         // Cleared on completion, so it stays set if the exchange fails or its future is dropped.
         self.closing = true;
-        self.sender.try_send_request(req).await.map_err(|mut e| match e.take_message() {
+        self.head_budget.start();
+        let sent = self.sender.try_send_request(req).await;
+        self.head_budget.lift();
+        sent.map_err(|mut e| match e.take_message() {
             Some(_) => ExchangeError::Unsent,
             None => ExchangeError::NoAnswer { source: e.into_error() },
         })
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod hop;
 pub mod http1;
 pub mod kv;
+pub mod server_stream;
 pub mod stream;
--- a/crates/transport/tests/http1.rs
+++ b/crates/transport/tests/http1.rs
@@ -61,6 +61,27 @@
     }
 }
 
+/// Guards against interim responses without end, which are passed over until the deadline of the request and take the thread from
+/// all others; and against a limit on them that a few interim responses or a long body exceed.
+#[tokio::test]
+async fn only_interim_responses_without_end_are_cut() {
+    const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+    let body = vec![b'x'; MAX_BODY_BYTES];
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n");
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let many = INTERIM.repeat(1_000);
+        while stream.write_all(&many).await.is_ok() {}
+    });
+    let endless = timeout(Duration::from_secs(5), exchange(address)).await.expect("the response is cut");
+    assert!(matches!(endless, Err(ExchangeError::NoAnswer { .. })), "{endless:?}");
+    let address = serve(vec![[INTERIM, INTERIM, head.as_bytes(), &body].concat()]).await;
+    let response = exchange(address).await.unwrap();
+    assert_eq!(response.body.len(), MAX_BODY_BYTES);
+}
+
 /// Guards against a request that is given up during a network partition and runs seconds later (review case 4). An orderly
 /// close leaves the bytes to the operating system, which delivers them after the partition; only a reset takes them back.
 #[tokio::test]
