Send no request late in a planned stop

A daemon that stops refuses requests whose head arrives more than 2.7 s after the signal; one whose head came before was sent whenever its body was complete or a slot was free. If the work took longer than measured, the exit broke it off with 504, also if it must not be repeated.

The check is now made when a request would be sent, first or again, and ends its wait in the queue. Such a request gets 503 and has not run.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,8 +53,8 @@
 /// `Retry-After` delay of a refusal for which the steering logic gives no delay, for example while no configuration is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` delay of a refusal by a daemon that is stopping. The client can use another daemon at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Refusal by a daemon that is stopping. The client can use another daemon at once.
+const STOPPING: Refusal = Refusal { reason: Reason::Stopping, retry_after: Duration::from_millis(20) };
 
 /// Response to a client, whose body is complete.
 pub type ClientResponse = Response<ResponseBody>;
@@ -326,8 +326,8 @@
     /// Selects the backend server for the next send, waiting in the queue if necessary.
     async fn select_backend(&self) -> Result<(SelectedBackend, Option<SentUnit<'_, A>>), Refusal> {
         let shared = &**self.shared;
-        if shared.shutdown().is_some_and(|shutdown| self.call.arrived_at >= shutdown.accept_until) {
-            return Err(Refusal { reason: Reason::Stopping, retry_after: STOPPING_RETRY_AFTER });
+        if shared.is_accept_period_over() {
+            return Err(STOPPING);
         }
         let decision = shared.steering.borrow_mut().decide(shared.now(), &self.call);
         let decision = match decision {
@@ -344,15 +344,18 @@
         }
     }
 
-    /// Checks that the account may still send the request, and counts the send against its quota. If it may not, the send is
-    /// reported as cancelled.
+    /// Checks that the request may still be sent, and counts the send against the quota of its account. If it may not, the send
+    /// is reported as cancelled.
     fn authorize_send(&self, choice: &SelectedBackend) -> Result<Option<SentUnit<'_, A>>, Refusal> {
         let shared = &**self.shared;
-        let Some(unit) = &self.account else {
-            return Ok(None);
+        let authorized = match &self.account {
+            // The wait in the queue may have lasted until the end of the period.
+            _ if shared.is_accept_period_over() => Err(STOPPING),
+            Some(unit) => self.check_account(unit).map(Some),
+            None => Ok(None),
         };
-        let refusal = match self.check_account(unit) {
-            Ok(sent) => return Ok(Some(sent)),
+        let refusal = match authorized {
+            Ok(sent) => return Ok(sent),
             Err(refusal) => refusal,
         };
         let now = shared.now();
@@ -374,13 +377,17 @@
     }
 
     /// Waits until the queued request can be sent or is refused. Returns [`Decision::Wait`] if there is no decision at the end
-    /// of its time in the queue.
+    /// of its time in the queue, and a refusal when a graceful shutdown no longer allows to send it.
     async fn wait_in_queue(&self, ticket: QueueTicket) -> Decision {
         let shared = &**self.shared;
         let mut guard = QueueGuard { shared, call: &self.call, ticket, rx: shared.add_waiter(ticket) };
         let hold_until = shared.steering.borrow().hold_until(&self.call.service, ticket);
         let hold = hold_until.unwrap_or(self.call.deadline).since(shared.now());
-        if let Ok(Ok(decision)) = timeout(hold, &mut guard.rx).await {
+        let decided = tokio::select! {
+            decided = timeout(hold, &mut guard.rx) => decided,
+            () = shared.accept_period_over() => return Decision::Refuse(STOPPING),
+        };
+        if let Ok(Ok(decision)) = decided {
             return decision;
         }
         // The request has been held for as long as it may be, so that this decides about it.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -62,18 +62,12 @@
 pub async fn serve<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) {
     tokio::select! {
         () = accept_connections(&shared, &listener, role) => {}
-        () = accept_grace_period_ended(&shared), if role == ListenerRole::Clients => {
+        () = shared.accept_period_over(), if role == ListenerRole::Clients => {
             accept_pending(&shared, &listener, role).await;
         }
     }
 }
 
-/// Completes when the daemon must stop accepting client connections.
-async fn accept_grace_period_ended<A: Adapter>(shared: &Shared<A>) {
-    shared.shutdown_started.notified().await;
-    sleep(ACCEPT_GRACE_PERIOD).await;
-}
-
 /// Accepts connections and serves each in a task of its own.
 async fn accept_connections<A: Adapter>(shared: &Rc<Shared<A>>, listener: &TcpListener, role: ListenerRole) {
     loop {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::{BootClock, wall_ms};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::sleep;
 
 use crate::adapter::Adapter;
 use crate::clients::Clients;
@@ -38,7 +39,7 @@
 /// Schedule of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Start of the refusal of arriving requests. A server might still be at work on a later one when the process exits.
+    /// Time from which no request is sent to a server, which might still be at work on it when the process exits.
     pub accept_until: Timestamp,
     /// Deadline for all responses.
     pub response_deadline: Timestamp,
@@ -139,6 +140,23 @@
         self.shutdown.get()
     }
 
+    /// Whether a graceful shutdown no longer allows to send requests to servers.
+    pub fn is_accept_period_over(&self) -> bool {
+        self.shutdown().is_some_and(|shutdown| self.now() >= shutdown.accept_until)
+    }
+
+    /// Completes when a graceful shutdown no longer allows to send requests to servers.
+    pub async fn accept_period_over(&self) {
+        // Created before the check, so that a shutdown that begins after it is not missed.
+        let started = self.shutdown_started.notified();
+        if self.shutdown().is_none() {
+            started.await;
+        }
+        if let Some(shutdown) = self.shutdown() {
+            sleep(shutdown.accept_until.since(self.now())).await;
+        }
+    }
+
     /// Whether clients should use this daemon: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving && self.steering.borrow().plan().is_some()
