Tell peers that read slowly from unreachable ones

Linux applies the TCP user timeout of 1.5 s, which tells an unreachable peer, to one that acknowledges everything but has no room, too. The same broke off requests whose server reads a large body slowly (502).

Connections of clients have no user timeout any more. One that waits for its response is found unreachable by a keep-alive probe after 2 s, as before, and a delivery ends after 5 s without progress, now by a reset. On connections to servers the timeout is off while a body over 16 KiB is under way; the deadline of the request bounds it. Reads and writes on streams that are watched or configured meanwhile are one module for clients and servers.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -14,6 +14,7 @@
 use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase};
 use medlarstair_transport::clock::BootClock;
 use medlarstair_transport::http1::finish_writes;
+use medlarstair_transport::shared_stream::{poll_read, poll_write};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -226,33 +227,6 @@
     }
 }
 
-/// Reads from a stream that others hold as well.
-fn poll_read(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-    loop {
-        ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read_buf(buf) {
-            Ok(_) => return Poll::Ready(Ok(())),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Poll::Ready(Err(e)),
-        }
-    }
-}
-
-/// Writes to a stream that others hold as well.
-fn poll_write(
-    stream: &TcpStream,
-    cx: &mut Context<'_>,
-    write: impl Fn(&TcpStream) -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match write(stream) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            written => return Poll::Ready(written),
-        }
-    }
-}
-
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -176,7 +176,8 @@
                     slog::info!(log, "connection closed by a limit"; "code" => 583, "limit" => cause.name(),
                         "connections" => shared.clients.len(), "held" => shared.memory.used());
                 }
-                return Ok(());
+                // The kernel would go on to send what the client does not read.
+                return stream.set_zero_linger();
             }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
             () = closed_by_peer(&stream) => return Ok(()),
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -9,6 +9,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,14 +30,18 @@
 
 /// TCP user timeout: the connection is closed when sent data stays unacknowledged for longer. A network partition has
 /// no other indication. The timeout covers several retransmissions, so that single lost packets do not close a
-/// connection.
+/// connection. It also ends a connection whose peer acknowledges all data but has no room for more.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of unanswered keep-alive probes after which a connection is closed.
-const KEEP_ALIVE_PROBES: u32 = 2;
+const KEEP_ALIVE_PROBES: u32 = 1;
+
+/// Maximum size in bytes of a request body that a server takes into its buffers without reading it. While a larger one is sent,
+/// a server that reads slowly looks like one that is unreachable.
+const MAX_BUFFERED_BODY_BYTES: u64 = 16 << 10;
 
 /// Maximum size in bytes of a response head, and of the buffer for a response. The head of a faulty server may be endless.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -76,6 +81,9 @@
     sender: SendRequest<B>,
     connection_task: JoinHandle<()>,
     head_budget: HeadBudget,
+    stream: Arc<TcpStream>,
+    /// Whether the TCP user timeout is in effect.
+    has_user_timeout: bool,
     /// Whether the connection cannot be used for another request.
     closing: bool,
 }
@@ -97,19 +105,21 @@
     /// Any I/O error; [`io::ErrorKind::TimedOut`] if connecting takes longer than `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, TcpStream::connect(address)).await??;
-        set_user_timeout(&stream)?;
+        stream.set_nodelay(true)?;
+        set_user_timeout(&stream, true)?;
         // No keep-alive probes: a connection that fails by them is not reset, which leaves its data to be delivered.
         stream.set_zero_linger()?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
-        let head_budget = HeadBudget::default();
-        let handshake = builder.handshake(TokioIo::new(ServerStream::new(stream, head_budget.clone())));
+        let (stream, head_budget) = (Arc::new(stream), HeadBudget::default());
+        let io = ServerStream::new(Arc::clone(&stream), head_budget.clone());
+        let handshake = builder.handshake(TokioIo::new(io));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let connection_task = tokio::spawn(async move {
             // An error is also returned by the exchange that it interrupts. An idle connection may end at any time.
             let _ = connection.await;
         });
-        Ok(Self { sender, connection_task, head_budget, closing: false })
+        Ok(Self { sender, connection_task, head_budget, stream, has_user_timeout: true, closing: false })
     }
 
     /// Returns whether another request can be sent.
@@ -143,6 +153,7 @@
     pub async fn send(&mut self, req: Request<B>) -> Result<Response<Incoming>, ExchangeError> {
         // Cleared on completion, so it stays set if the exchange fails or its future is dropped.
         self.closing = true;
+        self.tolerate_slow_reader(req.body().size_hint().lower() > MAX_BUFFERED_BODY_BYTES);
         self.head_budget.start();
         let sent = self.sender.try_send_request(req).await;
         self.head_budget.lift();
@@ -152,6 +163,17 @@
         })
     }
 
+    /// Turns the TCP user timeout off for a request that the server may take long to read, and on again for others.
+    fn tolerate_slow_reader(&mut self, is_slow: bool) {
+        if self.has_user_timeout != is_slow {
+            return;
+        }
+        // A failure leaves the timeout as it is, which at worst ends the exchange early.
+        if set_user_timeout(&self.stream, !is_slow).is_ok() {
+            self.has_user_timeout = !is_slow;
+        }
+    }
+
     /// Records that the body of the response with this head has been read completely. The connection can be used again
     /// unless the server closes it.
     pub fn complete(&mut self, head: &Parts) {
@@ -163,19 +185,22 @@
     }
 }
 
-/// Configures the socket so that the kernel closes the connection when the peer becomes unreachable without closing
-/// it. Also disables Nagle's algorithm.
+/// Configures the socket of a connection that was accepted so that the kernel closes it when the peer becomes unreachable
+/// while it waits for a response. Also disables Nagle's algorithm.
+///
+/// There is no TCP user timeout: a peer that does not read its response for some seconds is not unreachable. The caller bounds
+/// the time of a delivery.
 ///
 /// # Errors
 ///
 /// Any error setting the socket options.
 pub fn enable_dead_peer_detection(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
     let probes = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_INTERVAL)
         .with_interval(KEEP_ALIVE_INTERVAL)
         .with_retries(KEEP_ALIVE_PROBES);
-    SockRef::from(stream).set_tcp_keepalive(&probes)?;
-    set_user_timeout(stream)
+    SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
 /// Completes when the peer has closed or reset the connection, also while bytes that it sent before are unread.
@@ -213,9 +238,7 @@
     socket.set_send_buffer_size(bytes)
 }
 
-/// Configures the socket so that the kernel closes the connection when sent data is not acknowledged. Also disables Nagle's
-/// algorithm.
-fn set_user_timeout(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+/// Lets the kernel close a connection whose sent data is not acknowledged, or no longer.
+fn set_user_timeout(stream: &TcpStream, is_on: bool) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(is_on.then_some(TCP_USER_TIMEOUT))
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod http1;
 pub mod kv;
 pub mod server_stream;
+pub mod shared_stream;
 pub mod stream;
--- a/crates/transport/src/server_stream.rs
+++ b/crates/transport/src/server_stream.rs
@@ -12,6 +12,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::http1::finish_writes;
+use crate::shared_stream::{poll_read, poll_write};
+
 /// Maximum number of bytes that a server sends up to the end of the head of a response, with interim responses. The HTTP library
 /// may have read two buffers of the body, of 64 KiB each, before the budget is lifted.
 const MAX_HEAD_BYTES: usize = 256 << 10;
@@ -57,7 +60,7 @@
 /// A stream whose reads are limited.
 #[derive(Debug)]
 pub struct ServerStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     head_budget: HeadBudget,
     /// Bytes that were read since the last turn of other tasks.
     turn: usize,
@@ -65,7 +68,7 @@
 
 impl ServerStream {
     /// Wraps the stream of a connection. A read fails when `head_budget` is exceeded.
-    pub fn new(stream: TcpStream, head_budget: HeadBudget) -> Self {
+    pub fn new(stream: Arc<TcpStream>, head_budget: HeadBudget) -> Self {
         Self { stream, head_budget, turn: 0 }
     }
 }
@@ -82,7 +85,7 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = poll_read(&self.stream, cx, buf);
         if read.is_pending() {
             self.turn = 0;
         }
@@ -97,27 +100,28 @@
 }
 
 impl AsyncWrite for ServerStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        poll_write(&self.stream, cx, |stream| stream.try_write(data))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
+        poll_write(&self.stream, cx, |stream| stream.try_write_vectored(data))
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket has no buffer in the process.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(finish_writes(&self.stream))
     }
 }
