Remember the pause of a server whose entry is removed

The pause is now remembered like the announcement that a server leaves, until the server restarts.

The new test fails before (the server gets requests) and passes with it; so do the tests of pauses and departures.

--- a/crates/state/src/steering/departures.rs
+++ b/crates/state/src/steering/departures.rs
@@ -1,4 +1,4 @@
-//! Which entry of a backend server is the newer one, and which servers have announced that they leave.
+//! Which entry of a backend server is the newer one, and what servers without an entry have announced.
 //!
 //! A write to the key-value service may be carried out seconds late, so that an older entry of a server replaces a newer one
 //! or appears after its deletion. A server that leaves would then be used again. Entries are therefore compared by the start
@@ -61,6 +61,8 @@
 struct Departure {
     version: EntryVersion,
     leaving: bool,
+    /// End of the pause that the server asked for. `None` if it asked for none.
+    paused_until: Option<Timestamp>,
     at: Timestamp,
 }
 
@@ -74,7 +76,8 @@
     /// Records a server whose entry was deleted.
     pub fn record(&mut self, now: Timestamp, server: &Server) {
         let leaving = server.is_leaving() || server.entry.draining;
-        let departure = Departure { version: server.entry.version, leaving, at: now };
+        let version = server.entry.version;
+        let departure = Departure { version, leaving, paused_until: server.paused_until(), at: now };
         self.departures.insert(server.entry.id.clone(), departure);
     }
 
@@ -88,9 +91,16 @@
         self.departures.get(&entry.id).is_some_and(|d| d.version.is_before(&entry.version))
     }
 
-    /// Returns whether the process of the server that wrote the entry had announced that it leaves.
-    pub fn had_announced(&self, entry: &BackendEntry) -> bool {
-        self.departures.get(&entry.id).is_some_and(|d| d.leaving && d.version.is_same_process(&entry.version))
+    /// Lets a server that is listed again keep what it announced before, unless it has restarted.
+    pub fn restore(&self, server: &mut Server) {
+        let departure = self.departures.get(&server.entry.id);
+        let Some(departure) = departure.filter(|d| d.version.is_same_process(&server.entry.version)) else {
+            return;
+        };
+        if departure.leaving {
+            server.mark_leaving();
+        }
+        server.restore_pause(departure.paused_until);
     }
 
     /// Removes outdated records.
--- a/crates/state/src/steering/engine.rs
+++ b/crates/state/src/steering/engine.rs
@@ -265,9 +265,7 @@
             None => {}
         }
         let mut server = Server::new(entry, now);
-        if self.departures.had_announced(&server.entry) {
-            server.mark_leaving();
-        }
+        self.departures.restore(&mut server);
         self.fleet.insert(server);
         true
     }
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -215,6 +215,11 @@
         !was_paused
     }
 
+    /// Continues a pause that the server asked for before its entry was removed.
+    pub fn restore_pause(&mut self, until: Option<Timestamp>) {
+        self.paused_until = until;
+    }
+
     /// Whether the server is paused.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/crates/state/tests/steering_pauses.rs
+++ b/crates/state/tests/steering_pauses.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use medlarstair_state::id::Backend;
+use medlarstair_state::steering::departures::EntryVersion;
 use medlarstair_state::steering::engine::Reason;
 use medlarstair_state::steering::server::MAX_PAUSE;
-use medlarstair_state::steering::{Decision, Refusal, Steering};
+use medlarstair_state::steering::{BackendEntry, Decision, Refusal, Steering};
 use medlarstair_state::time::Timestamp;
 use steering_support::*;
 
@@ -51,6 +52,22 @@
     }
 }
 
+/// Guards against a pause that is forgotten when the entry of the server is removed and written again, for example after one that
+/// cannot be read; and against one that outlasts a restart.
+#[test]
+fn a_pause_outlasts_the_entry_but_not_the_process() {
+    for (restarts, is_paused) in [(false, true), (true, false)] {
+        let mut steering = steering();
+        let version = |started_at_ms| EntryVersion { started_at_ms: Some(started_at_ms), sequence: Some(1) };
+        steering.apply_server(BackendEntry { version: version(1), ..entry(0, "near") }, ms(0));
+        steering.pause_server(ms(0), &server(0), Duration::from_secs(5));
+        steering.remove_server(&server(0), ms(1_000));
+        let version = version(if restarts { 2 } else { 1 });
+        steering.apply_server(BackendEntry { version, ..entry(0, "near") }, ms(1_500));
+        assert_eq!(!burst(&mut steering, 3_000).contains(&server(0)), is_paused, "restarts: {restarts}");
+    }
+}
+
 /// Guards against a burst at the end of a pause, and against daemons that return at the same time.
 #[test]
 fn requests_return_gradually_after_a_pause() {
