Lose no connection when the listener of a stopping daemon closes

a_planned_stop_under_load_loses_no_request failed once beside other runs: a client connected and got no response. The runtime asks the operating system only for connections of which it knew when it last waited, so those that were established later, while other tasks ran, were reset by the close.

The socket is now asked directly until it has no connection left, and closed before these are served.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -38,6 +38,9 @@
 /// Margin between the deadline for all responses and the exit of the process.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time from the end of the acceptance of requests until those that wait for a server are refused.
+const SEND_MARGIN: Duration = Duration::from_millis(100);
+
 /// Interval between checks whether all client connections are closed.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -146,6 +149,7 @@
     let now = shared.now();
     shared.begin_shutdown(Shutdown {
         accept_until: now + time_to_accept,
+        send_until: now + time_to_accept + SEND_MARGIN,
         response_deadline: now + time_to_exit.saturating_sub(RESPONSE_MARGIN),
     });
     sleep_until(started + time_to_accept).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,7 +35,7 @@
 use crate::notices;
 use crate::pool::ServerConnection;
 use crate::quota::{self, QuotaUnit, SentUnit};
-use crate::shared::Shared;
+use crate::shared::{Shared, Shutdown};
 use crate::upload::{self, Upload};
 
 /// Timeout for opening a connection to a backend server. It allows two round trips between the most distant regions.
@@ -326,7 +326,7 @@
     /// Selects the backend server for the next send, waiting in the queue if necessary.
     async fn select_backend(&self) -> Result<(SelectedBackend, Option<SentUnit<'_, A>>), Refusal> {
         let shared = &**self.shared;
-        if shared.is_accept_period_over() {
+        if self.is_too_late_to_send() {
             return Err(STOPPING);
         }
         let decision = shared.steering.borrow_mut().decide(shared.now(), &self.call);
@@ -344,13 +344,20 @@
         }
     }
 
+    /// Whether a graceful shutdown no longer allows to send the request.
+    fn is_too_late_to_send(&self) -> bool {
+        let now = self.shared.now();
+        let is_late = |s: Shutdown| self.call.arrived_at >= s.accept_until || now >= s.send_until;
+        self.shared.shutdown().is_some_and(is_late)
+    }
+
     /// Checks that the request may still be sent, and counts the send against the quota of its account. If it may not, the send
     /// is reported as cancelled.
     fn authorize_send(&self, choice: &SelectedBackend) -> Result<Option<SentUnit<'_, A>>, Refusal> {
         let shared = &**self.shared;
         let authorized = match &self.account {
-            // The wait in the queue may have lasted until the end of the period.
-            _ if shared.is_accept_period_over() => Err(STOPPING),
+            // The wait in the queue may have lasted until then.
+            _ if self.is_too_late_to_send() => Err(STOPPING),
             Some(unit) => self.check_account(unit).map(Some),
             None => Ok(None),
         };
@@ -385,7 +392,7 @@
         let hold = hold_until.unwrap_or(self.call.deadline).since(shared.now());
         let decided = tokio::select! {
             decided = timeout(hold, &mut guard.rx) => decided,
-            () = shared.accept_period_over() => return Decision::Refuse(STOPPING),
+            () = shared.shutdown_reaches(|shutdown| shutdown.send_until) => return Decision::Refuse(STOPPING),
         };
         if let Ok(Ok(decision)) = decided {
             return decision;
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -18,8 +18,7 @@
 use medlarstair_state::steering::ClientLimits;
 use medlarstair_transport::http1::{closed_by_peer, enable_dead_peer_detection, limit_socket_buffers};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::adapter::Adapter;
 use crate::body::ResponseBody;
@@ -62,9 +61,10 @@
 pub async fn serve<A: Adapter>(shared: Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) {
     tokio::select! {
         () = accept_connections(&shared, &listener, role) => {}
-        () = shared.accept_period_over(), if role == ListenerRole::Clients => {
-            accept_pending(&shared, &listener, role).await;
-        }
+        () = shared.shutdown_reaches(|shutdown| shutdown.accept_until), if role == ListenerRole::Clients => {}
+    }
+    if let Err(e) = close(&shared, listener, role) {
+        log_connection_error(&shared, &e);
     }
 }
 
@@ -81,14 +81,21 @@
     }
 }
 
-/// Accepts the connections that the operating system has already established. It would reset them when the listener is
-/// closed, together with the requests that their clients have sent.
-async fn accept_pending<A: Adapter>(shared: &Rc<Shared<A>>, listener: &TcpListener, role: ListenerRole) {
-    // Lets the runtime learn of connections that were established since it last waited.
-    yield_now().await;
-    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-        spawn_connection(shared, stream, role);
+/// Closes a listener. Connections that the operating system has already established are accepted first, since it would reset
+/// them together with the requests that their clients have sent.
+fn close<A: Adapter>(shared: &Rc<Shared<A>>, listener: TcpListener, role: ListenerRole) -> io::Result<()> {
+    // The runtime does not ask for connections that were established since it last waited, so the socket is asked directly.
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        streams.push(stream);
+    }
+    drop(listener);
+    for stream in streams {
+        stream.set_nonblocking(true)?;
+        spawn_connection(shared, TcpStream::from_std(stream)?, role);
     }
+    Ok(())
 }
 
 /// Serves a connection in a task of its own. A client connection counts as open from now on. The connection is refused if
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,8 +39,11 @@
 /// Schedule of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Time from which no request is sent to a server, which might still be at work on it when the process exits.
+    /// Time from which connections and requests that arrive are refused.
     pub accept_until: Timestamp,
+    /// Time from which no request is sent to a server, which might still be at work on it when the process exits. Later than
+    /// `accept_until`, so that clients whose requests are refused do not connect while the listener closes.
+    pub send_until: Timestamp,
     /// Deadline for all responses.
     pub response_deadline: Timestamp,
 }
@@ -140,20 +143,15 @@
         self.shutdown.get()
     }
 
-    /// Whether a graceful shutdown no longer allows to send requests to servers.
-    pub fn is_accept_period_over(&self) -> bool {
-        self.shutdown().is_some_and(|shutdown| self.now() >= shutdown.accept_until)
-    }
-
-    /// Completes when a graceful shutdown no longer allows to send requests to servers.
-    pub async fn accept_period_over(&self) {
+    /// Completes when a graceful shutdown reaches the time that `choose` takes from its schedule.
+    pub async fn shutdown_reaches(&self, choose: impl Fn(&Shutdown) -> Timestamp) {
         // Created before the check, so that a shutdown that begins after it is not missed.
         let started = self.shutdown_started.notified();
         if self.shutdown().is_none() {
             started.await;
         }
         if let Some(shutdown) = self.shutdown() {
-            sleep(shutdown.accept_until.since(self.now())).await;
+            sleep(choose(&shutdown).since(self.now())).await;
         }
     }
 
