--- a/crates/transport/src/kv.rs
+++ b/crates/transport/src/kv.rs
@@ -92,15 +92,14 @@
     StoreError::new(cause)
 }
 
-/// Condition on a key under which a write takes effect.
+/// Condition on a key under which a write takes effect. There is no write without one, since a write whose response is lost may
+/// be carried out late.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Precondition {
     /// The key does not exist.
     Absent,
     /// The key's last change has this revision.
     Revision(Revision),
-    /// No condition.
-    Any,
 }
 
 /// Outcome of a write or deletion.
@@ -292,7 +291,6 @@
         req = match precondition {
             Precondition::Absent => req.insert_header((header::IF_NONE_MATCH, "*")),
             Precondition::Revision(revision) => req.insert_header((header::IF_MATCH, entity_tag(revision))),
-            Precondition::Any => req,
         };
         if let Some(lease) = lease {
             req = req.insert_header(("lease", lease.to_string()));
