Split the forwarding of requests by job, and reword comments

forward.rs held the heads of requests and responses, the results of sends and their guards beside the course of a request (695 lines); the first two have modules of their own now, it has 566. Nothing else changes in them.

--- a/crates/coordination/src/call.rs
+++ b/crates/coordination/src/call.rs
@@ -39,7 +39,7 @@
     pub service: Service,
     /// Scheduling rank, set by the client.
     pub rank: Rank,
-    /// Time from the receipt of the request until its deadline.
+    /// Remaining time at the receipt of the request.
     pub deadline: Duration,
     /// Whether the request may be repeated, or how repetitions are detected.
     pub idempotency: Idempotency,
--- a/crates/coordination/src/engine.rs
+++ b/crates/coordination/src/engine.rs
@@ -140,7 +140,7 @@
 #[rtype(result = "Vec<Entry>")]
 pub struct GetMissingEntries(pub Vec<KeyRevision>);
 
-/// Receives a part of the operation table of a daemon that shuts down. `true` if it was accepted.
+/// Receives a chunk of the operation table of a daemon that shuts down. `true` if it was accepted.
 #[derive(Debug, Message)]
 #[rtype(result = "bool")]
 pub struct ReceiveHandover(pub HandoverTable);
@@ -240,7 +240,7 @@
     step_senders: HashMap<RequestId, oneshot::Sender<Step>>,
     store: Option<ConnectStore>,
     watching: bool,
-    /// Whether the decision logic accepted the part of an operation table that the current event contains.
+    /// Whether the decision logic accepted the chunk of an operation table in the current event.
     handover_accepted: bool,
     last_published: Timestamp,
 }
--- a/crates/daemons/src/load/outcome.rs
+++ b/crates/daemons/src/load/outcome.rs
@@ -64,7 +64,7 @@
     pub intended: Duration,
     /// Delay from the intended send time to the start of the sending task, caused by the load tool itself.
     pub lateness: Duration,
-    /// Time from the intended send time to the end of the request.
+    /// Latency, counted from the intended send time.
     pub latency: Duration,
     /// How the request ended.
     pub outcome: Outcome,
--- a/crates/daemons/src/load/run.rs
+++ b/crates/daemons/src/load/run.rs
@@ -20,7 +20,7 @@
 use super::report::{Observations, RunReport, Window};
 use super::trace::TraceRequest;
 
-/// Time from the start of the threads to the first request, in which workers look up entry VMs.
+/// Delay of the first request after the start of the threads, in which workers look up entry VMs.
 const WARM_UP: Duration = Duration::from_secs(1);
 /// Wait before the run logs are read. Executions whose caller has disconnected end within this time after the last
 /// response, so the logs are then complete.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -38,7 +38,7 @@
 /// Margin between the deadline for all responses and the exit of the process.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time from the end of the acceptance of requests until those that wait for a server are refused.
+/// Delay between the end of the acceptance of requests and the refusal of those that wait for a server.
 const SEND_MARGIN: Duration = Duration::from_millis(100);
 
 /// Interval between checks whether all client connections are closed.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,23 +7,17 @@
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use medlarstair_state::id::Backend;
 use medlarstair_state::steering::accounts::Account;
-use medlarstair_state::steering::affinity::ObjectId;
 use medlarstair_state::steering::engine::Reason;
 use medlarstair_state::steering::memory::HolderKind;
 use medlarstair_state::steering::plan::{Plan, RetrySafety, Route};
-use medlarstair_state::steering::poison::Fingerprint;
 use medlarstair_state::steering::{Call, Decision, QueueTicket, Refusal, SelectedBackend, SendOutcome};
 use medlarstair_state::time::Timestamp;
-use medlarstair_transport::hop::is_hop_by_hop;
 use medlarstair_transport::http1::ExchangeError;
-use rapidhash::v3::rapidhash_v3;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::accounts;
@@ -31,10 +25,11 @@
 use crate::body::{self, BodyError, RequestBody, ResponseBody, Segments};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
-use crate::memory::Holding;
+use crate::messages::{end_to_end_headers, is_final_status, object_and_fingerprint, refusal_response};
 use crate::notices;
 use crate::pool::ServerConnection;
 use crate::quota::{self, QuotaUnit, SentUnit};
+use crate::send::{HeldResponse, QueueGuard, SendGuard, SendResult};
 use crate::shared::{Shared, Shutdown};
 use crate::upload::{self, Upload};
 
@@ -75,34 +70,6 @@
     may_have_run: bool,
 }
 
-/// A response that was received completely. Its memory is released on drop.
-struct HeldResponse {
-    head: response::Parts,
-    body: Segments,
-    holding: Option<Holding>,
-}
-
-/// Result of sending a request to a backend server once.
-enum SendResult {
-    /// The server responded.
-    Response(Box<HeldResponse>, ResponseMetadata),
-    /// The server did not run the request.
-    NotRun(SendOutcome),
-    /// The server may have run the request, but there is no valid response.
-    Unknown(SendOutcome),
-}
-
-impl SendResult {
-    /// Whether the server has not run the request.
-    fn is_certainly_not_run(&self) -> bool {
-        match self {
-            Self::Response(_, metadata) => metadata.misdirected || metadata.not_run,
-            Self::NotRun(_) => true,
-            Self::Unknown(_) => false,
-        }
-    }
-}
-
 /// Forwards a client request and returns the response to the client.
 pub async fn handle<A: Adapter>(shared: &Rc<Shared<A>>, req: Request<Incoming>) -> Response<ResponseBody> {
     let arrived = shared.now();
@@ -222,64 +189,6 @@
     plan.route(host, head.uri.path()).cloned().map(Rc::new)
 }
 
-/// Determines the object that a request concerns, by default its attempt, and the fingerprint by which requests that crash
-/// servers are recognized.
-fn object_and_fingerprint(
-    route: &Route,
-    head: &Parts,
-    metadata: &RequestMetadata,
-    body: &Segments,
-) -> (ObjectId, Fingerprint) {
-    let attempt = metadata.attempt_id.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
-    // The state that a server keeps for an object helps requests of one route only, so objects are distinguished by route.
-    let object = metadata.object.unwrap_or_else(|| ObjectId::from_name(attempt)).for_route(&route.name);
-    let mut text = Vec::with_capacity(256);
-    text.extend_from_slice(head.method.as_str().as_bytes());
-    text.extend_from_slice(route.host.as_bytes());
-    text.extend_from_slice(head.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
-    if metadata.object.is_some() {
-        // Otherwise the object is the attempt, which differs between copies of a request.
-        text.extend_from_slice(&object.0.to_le_bytes());
-    }
-    (object, Fingerprint(rapidhash_v3(&text) ^ body.hash()))
-}
-
-/// Removes a request from the queue when it is dropped, also if the client disconnects. A decision to send that was not
-/// received is reported as a cancelled send.
-struct QueueGuard<'a, A: Adapter> {
-    shared: &'a Shared<A>,
-    call: &'a Call,
-    ticket: QueueTicket,
-    rx: oneshot::Receiver<Decision>,
-}
-
-impl<A: Adapter> Drop for QueueGuard<'_, A> {
-    fn drop(&mut self) {
-        self.shared.remove_waiter(self.ticket);
-        let mut steering = self.shared.steering.borrow_mut();
-        steering.cancel_queued(&self.call.service, self.ticket);
-        if let Ok(Decision::Send(choice)) = self.rx.try_recv() {
-            steering.record_outcome(self.shared.now(), self.call, &choice, SendOutcome::Cancelled);
-        }
-    }
-}
-
-/// Reports the outcome of a send to the steering logic when it is dropped, also if the client disconnects.
-struct SendGuard<'a, A: Adapter> {
-    shared: &'a Shared<A>,
-    call: &'a Call,
-    choice: &'a SelectedBackend,
-    outcome: SendOutcome,
-}
-
-impl<A: Adapter> Drop for SendGuard<'_, A> {
-    fn drop(&mut self) {
-        let now = self.shared.now();
-        self.shared.steering.borrow_mut().record_outcome(now, self.call, self.choice, self.outcome);
-        self.shared.deliver_decisions();
-    }
-}
-
 impl<A: Adapter> Forward<'_, A> {
     /// Sends the request until it has a response or may not be retried. Returns the response to the client and the outcome
     /// for log and metrics.
@@ -655,41 +564,3 @@
         (res, if code.is_server_error() { "failed" } else { "answered" })
     }
 }
-
-/// Whether a status may end an exchange. Faulty servers send others, for example 000 or 999.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..=599).contains(&status.as_u16())
-}
-
-/// Creates a response that promises that the request was not run.
-pub(crate) fn refusal_response(refusal: Refusal) -> Response<ResponseBody> {
-    let mut res = match refusal.reason {
-        Reason::Revoked => return accounts::unauthorized_response(),
-        Reason::Quota => empty_response(StatusCode::TOO_MANY_REQUESTS),
-        _ => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-    };
-    let seconds = format!("{:.3}", refusal.retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        res.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    res
-}
-
-/// Returns the end-to-end headers. The HTTP library sets the length of the body.
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let connection_options: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let is_hop = is_hop_by_hop(name.as_str()) || connection_options.iter().any(|n| n == name.as_str());
-        if !is_hop {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -39,9 +39,9 @@
 /// Schedule of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Time from which connections and requests that arrive are refused.
+    /// End of the acceptance of connections and requests.
     pub accept_until: Timestamp,
-    /// Time from which no request is sent to a server, which might still be at work on it when the process exits. Later than
+    /// End of the sends to servers, which might still be at work on a later request when the process exits. Later than
     /// `accept_until`, so that clients whose requests are refused do not connect while the listener closes.
     pub send_until: Timestamp,
     /// Deadline for all responses.
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -17,8 +17,8 @@
 use crate::body::{self, BodyError, ResponseBody, Segments};
 use crate::control::empty_response;
 use crate::eventlog::EventCode;
-use crate::forward::refusal_response;
 use crate::memory::Holding;
+use crate::messages::refusal_response;
 use crate::shared::Shared;
 
 /// Time without a byte after which a body is given up. It is longer than [`STALL_TIME`], since memory is not short.
--- a/crates/state/src/node/event.rs
+++ b/crates/state/src/node/event.rs
@@ -37,7 +37,7 @@
     pub service: Service,
     /// Priority of the request.
     pub rank: Rank,
-    /// Time from the arrival at this daemon until the deadline.
+    /// Remaining time at the arrival at this daemon.
     pub deadline: Duration,
     /// Whether and how it may be sent again.
     pub idempotency: Idempotency,
--- a/crates/state/src/steering/departures.rs
+++ b/crates/state/src/steering/departures.rs
@@ -61,7 +61,7 @@
 struct Departure {
     version: EntryVersion,
     leaving: bool,
-    /// End of the pause that the server asked for. `None` if it asked for none.
+    /// End of the pause that was in effect. `None` without one.
     paused_until: Option<Timestamp>,
     at: Timestamp,
 }
--- a/crates/state/src/steering/engine/call.rs
+++ b/crates/state/src/steering/engine/call.rs
@@ -125,7 +125,7 @@
     Answered {
         /// Whether the response is not a server error.
         ok: bool,
-        /// Time from the send to the response.
+        /// Latency of the response.
         took: Duration,
     },
     /// The server refused the request without running it.
--- a/crates/state/src/steering/engine/selection.rs
+++ b/crates/state/src/steering/engine/selection.rs
@@ -384,7 +384,7 @@
         let would_miss_objective = |d: &&SlotDemand| d.latency_objective.as_secs_f64() < work;
         let more_urgent = state.demand.range(..call.route.priority).map(|(_, demand)| demand);
         let urgent: f64 = more_urgent.filter(would_miss_objective).map(|demand| demand.slots(now)).sum();
-        // This daemon observes only its part of the demand.
+        // This daemon observes only its share of the demand.
         urgent * self.daemons as f64 > MIN_URGENT_DEMAND_FRACTION * self.fleet.slots_of(&call.service)
     }
 
--- a/crates/state/src/steering/home_demand.rs
+++ b/crates/state/src/steering/home_demand.rs
@@ -3,7 +3,7 @@
 //! Load pattern: the load of a region rises and falls by half within a minute, and at its peak the region is too small
 //! for all objects of its clients. Each move of an object to another home makes it cold, so objects that move away at
 //! the peak stay away: the demand used here follows a rise within a second and a fall within minutes. This also
-//! suppresses the sampling error of a daemon, which observes only its part of the demand.
+//! suppresses the sampling error of a daemon, which observes only its share of the demand.
 
 use std::time::Duration;
 
--- a/crates/state/src/steering/quota/coordinator.rs
+++ b/crates/state/src/steering/quota/coordinator.rs
@@ -1,4 +1,4 @@
-//! Division of the leased part of one quota by its coordinator.
+//! Division of the leased fraction of one quota by its coordinator.
 //!
 //! The coordinator counts each share that it granted as outstanding until the lease expires, or until the daemon confirms a
 //! later grant. It grants only what is not outstanding, so shares never add up to more than the leased part. Daemons with a
@@ -72,7 +72,7 @@
     pub tolerance: f64,
 }
 
-/// Division of the leased part of one quota.
+/// Division of the leased fraction of one quota.
 #[derive(Debug, Clone, Default)]
 pub struct Coordinator {
     clients: BTreeMap<DaemonKey, Client>,
--- a/crates/state/src/steering/server.rs
+++ b/crates/state/src/steering/server.rs
@@ -215,7 +215,7 @@
         !was_paused
     }
 
-    /// Continues a pause that the server asked for before its entry was removed.
+    /// Restores the end of a pause from before the removal of the entry.
     pub fn restore_pause(&mut self, until: Option<Timestamp>) {
         self.paused_until = until;
     }
--- a/crates/state/tests/steering_pauses.rs
+++ b/crates/state/tests/steering_pauses.rs
@@ -52,8 +52,8 @@
     }
 }
 
-/// Guards against a pause that is forgotten when the entry of the server is removed and written again, for example after one that
-/// cannot be read; and against one that outlasts a restart.
+/// Guards against a request for a pause that is forgotten when the entry of the server is removed and written again, for example
+/// after an unreadable one; and against one that outlasts a restart.
 #[test]
 fn a_pause_outlasts_the_entry_but_not_the_process() {
     for (restarts, is_paused) in [(false, true), (true, false)] {
