Take optional placeholders in the settings for absent

A daemon did not start if what writes its settings left a placeholder of the template that it does not know, although the setting is optional. Such a setting now counts as absent, like an empty one, and event 502 names it. A required setting without a value is an error as before.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -75,6 +75,8 @@
     pub log_level: LogLevel,
     /// Limits on the volume of the log.
     pub log_limits: LogLimits,
+    /// Optional settings that are placeholders of a template, as `section.key`. They count as absent.
+    pub unfilled: Vec<Box<str>>,
 }
 
 /// The text is not a valid duration.
@@ -129,7 +131,8 @@
         let ini = Ini::load_from_str(text).map_err(|source| SettingsError::Syntax { source })?;
         let mut reader = IniReader::new(&ini);
         let config = read_config(&mut reader);
-        reader.finish(config)
+        let config = reader.finish(config)?;
+        Ok(Self { unfilled: unfilled_settings(&ini), ..config })
     }
 
     /// The part of the settings that the steering logic uses.
@@ -202,16 +205,34 @@
         quota_limits,
         log_level,
         log_limits,
+        unfilled: Vec::new(),
     })
 }
 
-/// Reads a setting for which an empty value counts as absent, as a template without a value leaves it.
+/// Whether a value is a placeholder of a template, which its writer does not know.
+fn is_placeholder(text: &str) -> bool {
+    text.contains("{{")
+}
+
+/// Returns the settings that are placeholders, as `section.key`.
+fn unfilled_settings(ini: &Ini) -> Vec<Box<str>> {
+    let mut unfilled = Vec::new();
+    for (section, properties) in ini.iter() {
+        for (key, _) in properties.iter().filter(|(_, value)| is_placeholder(value)) {
+            unfilled.push(format!("{}.{key}", section.unwrap_or_default()).into());
+        }
+    }
+    unfilled
+}
+
+/// Reads a setting for which an empty value or a placeholder counts as absent, as a template without a value leaves it.
 fn optional_or_empty<T: FromStr<Err: ToString>>(
     r: &mut IniReader<'_>,
     section: &'static str,
     key: &'static str,
 ) -> Option<T> {
-    if r.raw_value(section, key)?.is_empty() {
+    let text = r.raw_value(section, key)?;
+    if text.is_empty() || is_placeholder(text) {
         return None;
     }
     r.optional(section, key)
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -98,6 +98,9 @@
     listen(&shared).await?;
     peers::bind(&shared).await?;
     slog::info!(log, "started"; "code" => 1, "callers" => %shared.cfg.client_address);
+    for key in &shared.cfg.unfilled {
+        slog::warn!(log, "optional setting is not filled in"; "code" => 502, "key" => &**key);
+    }
     let (store, store_recovered, watcher) =
         (Rc::new(store), Rc::new(Notify::new()), Rc::new(StoreWatcher::default()));
     let registration = actix_rt::spawn(maintain_registration(
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -22,6 +22,22 @@
     }
 }
 
+/// Guards against a writer of settings that does not know a new optional placeholder and keeps daemons from starting, and against
+/// a required setting that is accepted without a value.
+#[test]
+fn an_optional_placeholder_counts_as_absent() {
+    let text = VALID.replace("[limits]\n", "[limits]\nquota_window = {{bounds.quota_window}}\n").replace(
+        "ready = 127.0.0.1:2\n",
+        "ready = 127.0.0.1:2\npeers = 127.0.0.1:{{internal_ports.1}}\n[vm]\nmemory_mb = {{limits.memory_mb}}\n",
+    );
+    let config = Config::parse(&text).unwrap();
+    assert_eq!(config.quota_limits, QuotaLimits::default());
+    assert_eq!(config.peer_address, None);
+    let unfilled: Vec<&str> = config.unfilled.iter().map(|key| &**key).collect();
+    assert_eq!(unfilled, ["listen.peers", "vm.memory_mb", "limits.quota_window"]);
+    assert!(Config::parse(&VALID.replace("max_shift = 0.15", "max_shift = {{bounds.max_shift}}")).is_err());
+}
+
 /// Guards against a template without a value that makes the settings unusable, and against a wrong default.
 #[test]
 fn quota_settings_may_be_empty() {
