--- a/review/standin-3/deployment.rs
+++ b/review/standin-3/deployment.rs
@@ -200,6 +200,26 @@
     cold_slack: "8",
 };
 
+/// The site `surtidor-uy-grown`, with a machine of zone `mvd-a`.
+pub const SURTIDOR: Site = Site {
+    zones: [
+        ("mvd-a", "montevideo"),
+        ("mvd-b", "montevideo"),
+        ("lit-a", "litoral"),
+        ("lit-b", "litoral"),
+        ("nor-a", "norte"),
+        ("nor-b", "norte"),
+    ],
+    cpu_share: "0.5",
+    memory_mb: "512",
+    max_fds: "8192",
+    link_mbps: "200",
+    drain: "3000ms",
+    config_apply: "3000ms",
+    retry_slack: "166",
+    cold_slack: "8",
+};
+
 /// The program under review, started with the command and the template of the deploy file. It is killed on drop.
 pub struct Daemon {
     child: Child,
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod http;
 mod json;
+mod last_account;
 mod pipelining;
 mod relay;
 mod store;
@@ -53,6 +54,7 @@
         "leave-at-start-of-cut" => relay::run(&record, &dir.0, trouble, Scenario::LeaveAtStartOfCut),
         "leave-at-end-of-cut" => relay::run(&record, &dir.0, trouble, Scenario::LeaveAtEndOfCut),
         "config-storm" => config_storm::run(&record, &dir.0, trouble),
+        "last-account" => last_account::run(&record, &dir.0, trouble),
         "pipelining" => pipelining::run(&record, &dir.0, trouble),
         _ => Verdict::NotRun,
     };
