review: case 14, two daemons that divide one quota

A coordinator that the store turns away grants for 3 s after its last renewal. The daemon that joins and takes its place grants 2.2 s after its start, and takes it for granted that the other one knows of it by then.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod last_account;
 mod pipelining;
+mod quota_takeover;
 mod relay;
 mod store;
 
@@ -55,6 +56,7 @@
         "leave-at-end-of-cut" => relay::run(&record, &dir.0, trouble, Scenario::LeaveAtEndOfCut),
         "config-storm" => config_storm::run(&record, &dir.0, trouble),
         "last-account" => last_account::run(&record, &dir.0, trouble),
+        "quota-takeover" => quota_takeover::run(&record, &dir.0, trouble),
         "pipelining" => pipelining::run(&record, &dir.0, trouble),
         _ => Verdict::NotRun,
     };
