--- a/review/standin-3/pipelining.rs
+++ b/review/standin-3/pipelining.rs
@@ -25,6 +25,9 @@
 
 const CLIENTS: usize = 4;
 
+/// The bound `contact` of the site.
+const CONTACT: Duration = Duration::from_millis(4_000);
+
 pub fn run(record: &Arc<Record>, dir: &Path, trouble: bool) -> Verdict {
     let store = Store::start();
     let routes = [
@@ -65,6 +68,7 @@
     let Some(daemon) = Daemon::start(&BFH_TOPUP, dir, "front-gent-a-1", "gent-a", entrance.address) else {
         return Verdict::NotRun;
     };
+    thread::sleep(CONTACT);
     // The daemon learns how long the work takes.
     for n in 0..20 {
         let path = if n % 2 == 0 { "/list/w" } else { "/check/w" };
