Read a connection until its client closes it

The daemon closed the connection with the further requests unread. The kernel resets such a connection and discards what it has not delivered. Reading on was done only for the rest of a rejected body, for 1 s and 4 MiB, so that a client which sent a longer one before it read lost its refusal.

Each connection that the daemon closes is now read until the client closes it, for at most 5 s after the last byte of a response (1 s without one), and for 64 MiB of a rejected request. It counts as open meanwhile, and gives way to a new connection only after the others that may be closed.

Both new tests fail without the change: 54 to 136 kB missing from each of eight responses, and a broken connection after 1.1 s of sending.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -9,9 +9,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
-use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase};
+use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase, Linger};
 use medlarstair_transport::clock::BootClock;
 use medlarstair_transport::http1::finish_writes;
 use medlarstair_transport::shared_stream::{poll_read, poll_write};
@@ -20,13 +19,6 @@
 use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
-/// Duration for which a connection is read after a response to a request whose body was not read. The kernel resets a connection
-/// that is closed with unread data, which may discard the response.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-
-/// Maximum number of bytes that are read and discarded in that time.
-const LINGER_BYTES: usize = 4 << 20;
-
 /// Buffer size in bytes for discarded data.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
 
@@ -59,8 +51,6 @@
     /// Notified when the connection must be closed at once.
     cut: Rc<Notify>,
     cause: Cell<CutCause>,
-    /// Whether the connection is read before it is closed.
-    lingers: Cell<bool>,
 }
 
 /// Open client connections of a daemon.
@@ -117,13 +107,6 @@
         self.set_phase(id, ConnectionPhase::Running);
     }
 
-    /// Makes the task of a connection read and discard data before it closes the connection.
-    pub fn linger(&self, id: ConnectionId) {
-        if let Some(signals) = self.signals.borrow().get(&id) {
-            signals.lingers.set(true);
-        }
-    }
-
     fn set_phase(&self, id: ConnectionId, phase: ConnectionPhase) {
         self.table.borrow_mut().set_phase(self.clock.now(), id, phase);
     }
@@ -171,12 +154,17 @@
         self.clients.set_phase(self.id, ConnectionPhase::Receiving);
     }
 
+    /// Records that no more data follows. Returns how the connection must still be read.
+    fn begin_closing(&self) -> Linger {
+        self.clients.table.borrow_mut().begin_closing(self.clients.clock.now(), self.id)
+    }
+
     fn record_written(&self, bytes: usize) {
         self.clients.table.borrow_mut().record_written(self.clients.clock.now(), self.id, bytes);
     }
 
-    fn record_read(&self) {
-        self.clients.table.borrow_mut().record_read(self.clients.clock.now(), self.id);
+    fn record_read(&self, bytes: usize) {
+        self.clients.table.borrow_mut().record_read(self.clients.clock.now(), self.id, bytes);
     }
 }
 
@@ -189,7 +177,7 @@
 
 /// Progress of the reading that precedes the end of a connection.
 #[derive(Debug)]
-struct Linger {
+struct Discard {
     ends: Pin<Box<Sleep>>,
     left: usize,
 }
@@ -199,26 +187,34 @@
 pub struct ClientStream {
     stream: Rc<TcpStream>,
     client: Rc<Client>,
-    linger: Option<Linger>,
+    discard: Option<Discard>,
 }
 
 impl ClientStream {
     /// Wraps the stream of a connection.
     pub fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
-        Self { stream, client, linger: None }
+        Self { stream, client, discard: None }
+    }
+
+    /// Tells the client that no more data follows, unless it has been told.
+    fn begin_closing(&mut self) -> io::Result<()> {
+        if self.discard.is_none() {
+            finish_writes(&self.stream)?;
+            let Linger { time, bytes } = self.client.begin_closing();
+            self.discard = Some(Discard { ends: Box::pin(sleep(time)), left: bytes });
+        }
+        Ok(())
     }
 
     /// Reads and discards data until the client closes the connection, or a limit is reached.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let linger = self
-            .linger
-            .get_or_insert_with(|| Linger { ends: Box::pin(sleep(LINGER_TIME)), left: LINGER_BYTES });
+        let Some(discard) = &mut self.discard else { return Poll::Ready(()) };
         let mut scratch = [0; DISCARD_BUFFER_BYTES];
-        while linger.left > 0 && linger.ends.as_mut().poll(cx).is_pending() {
+        while discard.left > 0 && discard.ends.as_mut().poll(cx).is_pending() {
             let mut buf = ReadBuf::new(&mut scratch);
             match ready!(poll_read(&self.stream, cx, &mut buf)) {
                 Ok(()) if !buf.filled().is_empty() => {
-                    linger.left = linger.left.saturating_sub(buf.filled().len());
+                    discard.left = discard.left.saturating_sub(buf.filled().len());
                 }
                 Ok(()) | Err(_) => break,
             }
@@ -231,8 +227,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(poll_read(&self.stream, cx, buf))?;
-        if buf.filled().len() > before {
-            self.client.record_read();
+        let bytes = buf.filled().len() - before;
+        if bytes > 0 {
+            self.client.record_read(bytes);
         }
         Poll::Ready(Ok(()))
     }
@@ -265,12 +262,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.linger.is_none() {
-            finish_writes(&self.stream)?;
-        }
-        if self.client.signals.lingers.get() {
-            ready!(self.poll_discard(cx));
-        }
+        self.begin_closing()?;
+        ready!(self.poll_discard(cx));
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -75,7 +75,6 @@
     let arrived = shared.now();
     let (head, body) = req.into_parts();
     let Some(plan) = shared.steering.borrow().plan().cloned() else {
-        upload::leave_unread(shared, &head, &body);
         return refusal_response(Refusal { reason: Reason::NoPlan, retry_after: DEFAULT_RETRY_AFTER });
     };
     let Some(route) = find_route(&plan, &head) else {
@@ -83,15 +82,11 @@
             slog::info!(log, "no route matches request"; "code" => 540, "path" => head.uri.path(),
                 "version" => plan.version.0);
         }
-        upload::leave_unread(shared, &head, &body);
         return empty_response(StatusCode::NOT_FOUND);
     };
     let Admitted { account, route } = match admit(shared, &plan, route, &head) {
         Ok(admitted) => admitted,
-        Err(res) => {
-            upload::leave_unread(shared, &head, &body);
-            return *res;
-        }
+        Err(res) => return *res,
     };
     let metadata = shared.adapter.parse_request(&head.headers);
     let deadlines = metadata.timeout.into_iter().chain(route.timeout);
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -22,7 +22,7 @@
 
 use crate::adapter::Adapter;
 use crate::body::ResponseBody;
-use crate::clients::{Client, ClientStream};
+use crate::clients::{Client, ClientStream, CutCause};
 use crate::control;
 use crate::eventlog::EventCode;
 use crate::forward;
@@ -183,8 +183,11 @@
                     slog::info!(log, "connection closed by a limit"; "code" => 583, "limit" => cause.name(),
                         "connections" => shared.clients.len(), "held" => shared.memory.used());
                 }
-                // The kernel would go on to send what the client does not read.
-                return stream.set_zero_linger();
+                if cause != CutCause::ConnectionLimit {
+                    // The kernel would go on to send what the client does not read.
+                    stream.set_zero_linger()?;
+                }
+                return Ok(());
             }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
             () = closed_by_peer(&stream) => return Ok(()),
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -73,17 +73,6 @@
     }
 }
 
-/// Prepares the connection of a request that is rejected before its body is read, so that the client gets the response. The
-/// kernel would discard it if the connection were closed with unread data.
-pub fn leave_unread<A: Adapter>(shared: &Shared<A>, head: &Parts, body: &Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    if let Some(id) = head.extensions.get::<ConnectionId>() {
-        shared.clients.linger(*id);
-    }
-}
-
 /// Receives the body of a request, of at most `max` bytes, within `limit`.
 ///
 /// # Errors
@@ -97,23 +86,17 @@
     max: usize,
     limit: Duration,
 ) -> Result<Upload, Response<ResponseBody>> {
-    let connection = head.extensions.get::<ConnectionId>().copied();
     let length = body.size_hint().exact();
     let received =
         if body.is_end_stream() { Ok(Upload::default()) } else { read(shared, body, max, limit).await };
     match received {
         Ok(upload) => {
-            if let Some(id) = connection {
-                shared.clients.record_request(id);
+            if let Some(id) = head.extensions.get::<ConnectionId>() {
+                shared.clients.record_request(*id);
             }
             Ok(upload)
         }
-        Err(e) => {
-            if let Some(id) = connection {
-                shared.clients.linger(id);
-            }
-            Err(reject(shared, &e, length))
-        }
+        Err(e) => Err(reject(shared, &e, length)),
     }
 }
 
--- a/crates/state/src/steering/clients.rs
+++ b/crates/state/src/steering/clients.rs
@@ -13,6 +13,17 @@
 /// Time without a byte after which the delivery of a response is cut off.
 pub const DELIVERY_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Duration for which a connection without a delivery is read after the last byte to its client, so that the client learns of
+/// the end before the kernel resets the connection for data that nobody reads.
+pub const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Number of bytes that are read from a connection for a request that is rejected, before and after the response: the largest
+/// body that the deployments allow. A client may send all of it before it reads.
+const MAX_REJECTED_BYTES: usize = 64 << 20;
+
+/// Minimum number of bytes that are read after the response.
+const MIN_LINGER_BYTES: usize = 4 << 20;
+
 /// Period after the start of a delivery from which its rate is checked. The rate at the start depends on the window of TCP.
 const DELIVERY_RATE_GRACE: Duration = Duration::from_secs(10);
 
@@ -33,6 +44,8 @@
     Running,
     /// A response is being delivered.
     Delivering,
+    /// All responses have been written, and the client has been told that no more data follows.
+    Closing,
 }
 
 #[derive(Debug, Clone)]
@@ -43,6 +56,10 @@
     progress_at: Timestamp,
     /// Bytes written in this phase.
     written: u64,
+    /// Time of the last byte of a response.
+    written_at: Option<Timestamp>,
+    /// Bytes received since the last complete request.
+    received: usize,
     closing: bool,
 }
 
@@ -57,6 +74,15 @@
     Refused,
 }
 
+/// How a connection is read before it is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Linger {
+    /// Maximum duration. The response may take as long as one whose delivery stalls.
+    pub time: Duration,
+    /// Maximum number of bytes.
+    pub bytes: usize,
+}
+
 /// Open client connections, up to a limit.
 ///
 /// ```
@@ -102,7 +128,15 @@
         let id = ConnectionId(self.next);
         self.next += 1;
         let phase = ConnectionPhase::Receiving;
-        let connection = Connection { phase, since: now, progress_at: now, written: 0, closing: false };
+        let connection = Connection {
+            phase,
+            since: now,
+            progress_at: now,
+            written: 0,
+            written_at: None,
+            received: 0,
+            closing: false,
+        };
         self.connections.insert(id, connection);
         match victim {
             Some(victim) => {
@@ -127,13 +161,17 @@
             c.since = now;
             c.progress_at = now;
             c.written = 0;
+            if phase == ConnectionPhase::Running {
+                c.received = 0;
+            }
         }
     }
 
     /// Records that bytes were received.
-    pub fn record_read(&mut self, now: Timestamp, id: ConnectionId) {
+    pub fn record_read(&mut self, now: Timestamp, id: ConnectionId, bytes: usize) {
         if let Some(c) = self.connections.get_mut(&id) {
             c.progress_at = now;
+            c.received += bytes;
         }
     }
 
@@ -142,9 +180,32 @@
         if let Some(c) = self.connections.get_mut(&id) {
             c.progress_at = now;
             c.written += bytes as u64;
+            c.written_at = Some(now);
         }
     }
 
+    /// Records that no more data follows on a connection. Returns how it must still be read, unless its client closes it before:
+    /// the kernel resets a connection that is closed with unread data, and discards what it has not delivered.
+    ///
+    /// ```
+    /// use medlarstair_state::steering::clients::{Admission, ClientTable, DELIVERY_STALL_TIMEOUT, LINGER_TIME};
+    /// use medlarstair_state::time::Timestamp;
+    /// let mut clients = ClientTable::new(1);
+    /// let Admission::Accepted(id) = clients.admit(Timestamp::ZERO) else { panic!() };
+    /// assert_eq!(clients.begin_closing(Timestamp::ZERO, id).time, LINGER_TIME);
+    /// clients.record_written(Timestamp::ZERO, id, 100);
+    /// assert_eq!(clients.begin_closing(Timestamp::ZERO, id).time, DELIVERY_STALL_TIMEOUT);
+    /// ```
+    pub fn begin_closing(&mut self, now: Timestamp, id: ConnectionId) -> Linger {
+        self.set_phase(now, id, ConnectionPhase::Closing);
+        let Some(c) = self.connections.get(&id) else {
+            return Linger { time: LINGER_TIME, bytes: MIN_LINGER_BYTES };
+        };
+        let delivery = c.written_at.map_or(Duration::ZERO, |at| (at + DELIVERY_STALL_TIMEOUT).since(now));
+        let bytes = MAX_REJECTED_BYTES.saturating_sub(c.received).max(MIN_LINGER_BYTES);
+        Linger { time: delivery.max(LINGER_TIME), bytes }
+    }
+
     /// Returns the connections whose clients do not read their responses. They must be closed, and are returned once.
     pub fn take_stalled(&mut self, now: Timestamp) -> Vec<ConnectionId> {
         let stalled = |c: &Connection| {
@@ -161,11 +222,14 @@
         ids
     }
 
-    /// The connection without a running request that has received nothing for the longest time.
+    /// The connection without a running request that has received nothing for the longest time. One whose last response the
+    /// kernel may still deliver comes after all others.
     fn least_progressing(&self) -> Option<ConnectionId> {
-        let candidates =
-            self.connections.iter().filter(|(_, c)| c.phase == ConnectionPhase::Receiving && !c.closing);
-        candidates.min_by_key(|(id, c)| (c.progress_at, **id)).map(|(id, _)| *id)
+        let is_candidate =
+            |c: &Connection| matches!(c.phase, ConnectionPhase::Receiving | ConnectionPhase::Closing);
+        let candidates = self.connections.iter().filter(|(_, c)| is_candidate(c) && !c.closing);
+        let rank = |c: &Connection| (c.phase == ConnectionPhase::Closing, c.progress_at);
+        candidates.min_by_key(|(id, c)| (rank(c), **id)).map(|(id, _)| *id)
     }
 
     fn mark_closing(&mut self, id: ConnectionId) {
