Believe a relay only while its own responses are recent

A follower waited for as long as it heard announcements, and 1.2 s more. A relay announces until a renewal of its lease has timed out, up to 1.8 s after its last response, 3 s together. The announcements told the age of that response, but nobody looked at it.

The age decides now: a relay is believed until its own last response is 1.25 s old.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -107,6 +107,7 @@
         Rc::clone(&shared),
         Rc::clone(&store),
         Rc::clone(&store_recovered),
+        Rc::clone(&watcher),
     ));
     {
         let (shared, watcher) = (Rc::clone(&shared), Rc::clone(&watcher));
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -18,6 +18,7 @@
 use crate::membership::MEMBER_PREFIX;
 use crate::shared::{Phase, Shared};
 use crate::store_relay::Position;
+use crate::store_watcher::StoreWatcher;
 
 /// TTL of the lease under which a daemon keeps its entry. The service deletes the entry when the TTL has passed since the
 /// last renewal. Two renewals may time out before one succeeds.
@@ -46,11 +47,12 @@
 const MAX_WRITES: usize = 2;
 
 /// Maintains the entry of this daemon until a graceful shutdown begins, and then deletes it. `store_recovered` is notified
-/// when the service responds again after an outage.
+/// when the service responds again after an outage. `watcher` announces the responses to followers, who renew rarely.
 pub async fn maintain_registration<A: Adapter, S: RenewableLeaseStore>(
     shared: Rc<Shared<A>>,
     store: Rc<S>,
     store_recovered: Rc<Notify>,
+    watcher: Rc<StoreWatcher>,
 ) {
     let registrar = Registrar::new(&shared, &*store);
     let mut failing = false;
@@ -71,6 +73,7 @@
         };
         if renewed {
             shared.store_outage.borrow_mut().record_response(shared.now());
+            watcher.announce_position(&shared);
         } else {
             shared.store_outage.borrow_mut().record_failure();
         }
--- a/crates/gateway/src/store_relay.rs
+++ b/crates/gateway/src/store_relay.rs
@@ -1,7 +1,7 @@
 //! Which daemon watches the key-value service on behalf of others.
 //!
 //! In each failure domain one daemon, the relay, watches the service and announces what it receives to the others, with its
-//! revision. A daemon that lacks a change fetches it, and one that hears nothing from its relay watches by itself. The relays
+//! revision. A daemon that lacks a change fetches it, and one whose relay has had no response lately watches by itself. The relays
 //! of a region also announce to each other, so that a relay learns of a change even if the response to its watch is lost.
 
 use std::time::Duration;
@@ -17,9 +17,10 @@
 /// Interval between announcements of a relay that has received no change.
 pub const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time without an announcement after which a daemon watches by itself. One announcement may be lost, and a watch that then
-/// returns at once stays within the smallest time for a change (2 s).
-const MAX_SILENCE: Duration = Duration::from_millis(1_200);
+/// Age of a relay's last response from the service from which a daemon watches by itself. A relay renews its lease every 0.9 s and
+/// announces the response at once. A watch that then returns at once stays within the smallest time for a change (2 s), also if
+/// the relay was cut off right after its last response.
+const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1_250);
 
 /// Place in the history of the service.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -39,13 +40,18 @@
     pub after: Revision,
     /// Changes, in the order of their revisions.
     pub changes: Vec<Entry>,
-    /// Time since the relay's last response from the service, in milliseconds.
+    /// Time since the service last responded to the relay itself, in milliseconds.
     pub response_age_ms: u32,
     /// Outage of the service that the relay has observed and that ended recently.
     pub outage: Option<OutageReport>,
 }
 
 impl Announcement {
+    /// Time at which the service last responded to the relay, given the time at which the announcement was received.
+    pub fn response_at(&self, now: Timestamp) -> Timestamp {
+        now - Duration::from_millis(self.response_age_ms.into())
+    }
+
     /// An announcement without changes. [`StoreWatcher`](crate::store_watcher::StoreWatcher) sets the age of the response and
     /// the outage when it is sent.
     pub fn new(position: Position, after: Revision) -> Self {
@@ -94,8 +100,9 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct StoreRelay {
-    /// Time of the last announcement of the own failure domain's relay.
-    heard: Option<Timestamp>,
+    /// Time at which the service last responded to the own failure domain's relay, as announced. If two daemons announce, the
+    /// later response counts.
+    responded: Option<Timestamp>,
     /// Newest position that was announced.
     newest: Position,
 }
@@ -107,15 +114,15 @@
         if self.newest > applied {
             return Source::Fetch;
         }
-        match self.heard.map(|heard| heard + MAX_SILENCE) {
+        match self.responded.map(|at| at + MAX_RESPONSE_AGE) {
             Some(until) if may_follow && now < until => Source::Wait(until),
             _ => Source::Watch,
         }
     }
 
-    /// Whether the relay has been heard recently.
+    /// Whether the relay is known to have had a response recently.
     pub fn is_heard(&self, now: Timestamp) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < MAX_SILENCE)
+        self.responded.is_some_and(|at| now.since(at) < MAX_RESPONSE_AGE)
     }
 
     /// Receives an announcement from a relay of the own failure domain or, if `own_domain` is false, of another one. `applied` is
@@ -132,7 +139,7 @@
             return Reaction::Ignore;
         }
         if own_domain {
-            self.heard = Some(now);
+            self.responded = self.responded.max(Some(announcement.response_at(now)));
         }
         if position <= applied {
             return Reaction::Ignore;
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -151,10 +151,13 @@
     ) {
         let mut backoff = MIN_BACKOFF;
         let era = self.view.borrow().era();
+        let mut followed = false;
         while store.era() == era {
             let after = self.applied.get().revision;
             let source = self.source(shared);
-            let wait = watch_timeout(shared, source);
+            followed |= is_wait(source);
+            // The first watch after a relay returns at once, which shows whether the service is available to this daemon.
+            let wait = if followed { Duration::ZERO } else { watch_timeout(shared, source) };
             let watched = tokio::select! {
                 () = wait_until(shared, source) => continue,
                 watched = store.watch("", after, wait), if !is_wait(source) => watched,
@@ -163,6 +166,7 @@
                 () = store_recovered.notified() => continue,
             };
             count_call(shared, "watch", &watched);
+            let is_fetch = !std::mem::take(&mut followed) && wait.is_zero();
             match watched {
                 Ok(listing) if listing.era != era => return,
                 Ok(listing) => {
@@ -182,7 +186,7 @@
                 Err(e) => {
                     record_failure(shared, &e);
                     // The changes of a long time may be too many for a slow link. A listing has each key only once.
-                    let is_too_long = e.is_timed_out() && wait.is_zero();
+                    let is_too_long = e.is_timed_out() && is_fetch;
                     if e.is_history_lost() || is_too_long {
                         return;
                     }
@@ -267,7 +271,12 @@
         if now.since(self.announced_at.get()) < ANNOUNCEMENT_PERIOD {
             return;
         }
-        self.announced_at.set(now);
+        self.announce_position(shared);
+    }
+
+    /// Announces the newest known position to the followers if this daemon is a relay.
+    pub fn announce_position<A: Adapter>(&self, shared: &Shared<A>) {
+        self.announced_at.set(shared.now());
         let position = shared.store_relay.borrow().newest(self.applied.get());
         self.announce(shared, vec![Announcement::new(position, position.revision)]);
     }
--- a/crates/gateway/tests/store_relay.rs
+++ b/crates/gateway/tests/store_relay.rs
@@ -53,6 +53,29 @@
     assert_eq!(relay.source(NOW + Duration::from_millis(1_300), true, at(1, 5)), Source::Watch);
 }
 
+/// Guards against a daemon that trusts a relay which is cut off from the service and goes on announcing (review case 13), and
+/// against one that is misled by the older one of two relays.
+#[test]
+fn a_relay_is_believed_only_while_its_own_responses_are_recent() {
+    const PERIOD_MS: u32 = 500;
+    let announce = |relay: &mut StoreRelay, now, age| {
+        let idle = Announcement { response_age_ms: age, ..announcement(5, at(1, 5), Vec::new()) };
+        relay.receive(now, true, &idle, at(1, 5));
+    };
+    let mut relay = StoreRelay::default();
+    // The service last responded to the relay at NOW.
+    for n in 0..6 {
+        announce(&mut relay, NOW + Duration::from_millis((n * PERIOD_MS).into()), n * PERIOD_MS);
+    }
+    assert!(matches!(relay.source(NOW + Duration::from_secs(1), true, at(1, 5)), Source::Wait(_)));
+    let late = NOW + Duration::from_millis(1_300);
+    assert_eq!(relay.source(late, true, at(1, 5)), Source::Watch);
+    assert!(!relay.is_heard(late));
+    announce(&mut relay, late, 100);
+    announce(&mut relay, late, 1_300);
+    assert!(relay.is_heard(late + Duration::from_millis(500)), "another relay had a later response");
+}
+
 /// Guards against changes of different eras that are mixed, and against a relay that has not seen a restoration yet.
 #[test]
 fn an_announcement_of_another_era_is_not_applied() {
