Count only what no daemon got a response in as an outage

An outage is now a period in which no daemon is known to have got a response. A report counts as far as this daemon got none itself and heard of none in the period, and what remains must last 2 s. The same holds for a daemon whose own calls fail: while a relay tells of recent responses, deletions take effect at once. The first response after an outage for all does not hide it.

--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -3,6 +3,9 @@
 //! During an outage, the entries of running servers may expire. Whether a deletion dates from the outage is decided by its
 //! revision: the first complete response after the outage has the revision of the service at that time, and what is deleted
 //! later is in effect at once, because a server that leaves without notice must receive no new requests.
+//!
+//! An outage of the service is a period in which no daemon got a response, as far as this one knows. Calls of a single daemon
+//! may fail while the service is available to the servers, whose entries then do not expire.
 
 use std::time::Duration;
 
@@ -20,16 +23,13 @@
 /// Grace period after an outage in which a running server restores its entry.
 pub const ENTRY_RESTORE_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 
-/// Availability of the service, as this daemon has observed it.
-#[derive(Debug, Clone, Copy, Default)]
-enum State {
-    /// No call has failed since the start.
-    #[default]
-    Available,
-    /// Calls have been failing since the last response, at this time.
-    Unavailable { since: Timestamp },
-    /// An outage ended at the time `at`, when the service had this revision.
-    Recovered { at: Timestamp, revision: Revision, lasted: Duration },
+/// An outage that has ended.
+#[derive(Debug, Clone, Copy)]
+struct EndedOutage {
+    at: Timestamp,
+    /// Revision of the service at the end.
+    revision: Revision,
+    lasted: Duration,
 }
 
 /// An outage that has ended recently, as one daemon reports it to others. Times are relative, since clocks differ.
@@ -62,84 +62,101 @@
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreOutage {
-    state: State,
-    /// Time of the last response before any failure.
-    last_response: Timestamp,
+    /// Whether a call of this daemon has failed since its last complete response.
+    is_failing: bool,
+    /// Time of the last response to this daemon.
+    own_response: Timestamp,
+    /// Time of the last response to any daemon of which this one knows.
+    known_response: Timestamp,
+    /// Longest period without a known response since calls have been failing.
+    silence: Duration,
+    ended: Option<EndedOutage>,
 }
 
 impl StoreOutage {
     /// Records that a call failed, which begins or continues an outage.
     pub fn record_failure(&mut self) {
-        if !self.is_ongoing() {
-            self.state = State::Unavailable { since: self.last_response };
+        if !self.is_failing {
+            self.is_failing = true;
+            self.silence = Duration::ZERO;
         }
     }
 
-    /// Records a response at the time `at` that does not tell the revision of the service, to this daemon or to its relay. It
-    /// does not end an outage.
+    /// Records a response to this daemon at the time `at` that does not tell the revision of the service. It does not end an
+    /// outage.
     pub fn record_response(&mut self, at: Timestamp) {
-        if !self.is_ongoing() {
-            self.last_response = self.last_response.max(at);
+        self.own_response = self.own_response.max(at);
+        self.record_relayed_response(at);
+    }
+
+    /// Records that another daemon got a response at the time `at`. The service was available then, although calls of this one
+    /// may fail.
+    pub fn record_relayed_response(&mut self, at: Timestamp) {
+        if self.is_failing {
+            self.silence = self.silence.max(at.since(self.known_response));
         }
+        self.known_response = self.known_response.max(at);
     }
 
-    /// Time of the last response before any failure.
+    /// Time of the last response to this daemon.
     pub fn last_response(&self) -> Timestamp {
-        self.last_response
+        self.own_response
     }
 
     /// Records a response with all changes up to `revision`, which ends an outage.
     pub fn record_success(&mut self, now: Timestamp, revision: Revision) {
-        self.last_response = now;
-        if let State::Unavailable { since } = self.state {
-            self.state = State::Recovered { at: now, revision, lasted: now.since(since) };
+        self.record_response(now);
+        if self.is_failing && self.silence >= MIN_OUTAGE {
+            self.ended = Some(EndedOutage { at: now, revision, lasted: self.silence });
         }
+        self.is_failing = false;
     }
 
     /// Records the first response after a restoration of the service from an older copy. The leases of running servers may
     /// have been lost with it, as in an outage.
     pub fn record_restoration(&mut self, now: Timestamp, revision: Revision) {
-        self.last_response = now;
-        self.state = State::Recovered { at: now, revision, lasted: MIN_OUTAGE };
+        self.record_response(now);
+        self.is_failing = false;
+        self.ended = Some(EndedOutage { at: now, revision, lasted: MIN_OUTAGE });
     }
 
     /// The last outage, if entries that expired in it may still be restored.
     pub fn recent(&self, now: Timestamp) -> Option<OutageReport> {
-        let State::Recovered { at, revision, lasted } = self.state else {
-            return None;
-        };
+        let EndedOutage { at, revision, lasted } = self.ended?;
         let ended_ago = now.since(at);
-        let is_recent = lasted >= MIN_OUTAGE && ended_ago < ENTRY_RESTORE_GRACE_PERIOD;
-        is_recent.then_some(OutageReport { ended_ago, lasted, revision })
+        (ended_ago < ENTRY_RESTORE_GRACE_PERIOD).then_some(OutageReport { ended_ago, lasted, revision })
     }
 
-    /// Records an outage that another daemon has observed, unless this one observes or has observed one itself.
+    /// Records an outage that another daemon has observed, unless this one knows of a recent one. Only the time in which no
+    /// daemon is known to have got a response counts: the other one may have been cut off alone.
     pub fn record_report(&mut self, now: Timestamp, report: OutageReport) {
-        if self.is_ongoing() || self.recent(now).is_some() {
+        if self.recent(now).is_some() {
+            return;
+        }
+        let at = now - report.ended_ago;
+        let since = (at - report.lasted).max(self.known_response);
+        let lasted = at.since(since);
+        if lasted < MIN_OUTAGE {
             return;
         }
-        let OutageReport { ended_ago, lasted, revision } = report;
-        self.state = State::Recovered { at: now - ended_ago, revision, lasted };
+        self.ended = Some(EndedOutage { at, revision: report.revision, lasted });
+        self.known_response = at;
+        self.silence = Duration::ZERO;
     }
 
-    /// Whether calls have failed without a complete response since.
+    /// Whether calls of this daemon have failed since its last complete response.
     pub fn is_ongoing(&self) -> bool {
-        matches!(self.state, State::Unavailable { .. })
+        self.is_failing
     }
 
     /// Time at which a server is removed whose entry was deleted at the given revision, unless the entry is restored. This
     /// is `now` if the deletion is not a result of an outage.
     pub fn removal_time(&self, now: Timestamp, deleted: Revision) -> Timestamp {
-        match self.state {
-            State::Unavailable { since } if now.since(since) >= MIN_OUTAGE => {
-                now + ENTRY_RESTORE_GRACE_PERIOD
-            }
-            State::Recovered { at, revision, lasted }
-                if lasted >= MIN_OUTAGE && (deleted <= revision || now.since(at) < EXPIRY_WINDOW) =>
-            {
-                now.max(at + ENTRY_RESTORE_GRACE_PERIOD)
-            }
-            _ => now,
+        if self.is_failing && self.silence.max(now.since(self.known_response)) >= MIN_OUTAGE {
+            return now + ENTRY_RESTORE_GRACE_PERIOD;
         }
+        let Some(EndedOutage { at, revision, .. }) = self.ended else { return now };
+        let may_be_expired = deleted <= revision || now.since(at) < EXPIRY_WINDOW;
+        if may_be_expired { now.max(at + ENTRY_RESTORE_GRACE_PERIOD) } else { now }
     }
 }
--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -237,9 +237,7 @@
         let now = shared.now();
         let reaction =
             shared.store_relay.borrow_mut().receive(now, own_domain, &announcement, self.applied.get());
-        if own_domain {
-            self.record_relayed_response(shared, &announcement);
-        }
+        self.record_availability(shared, own_domain, &announcement);
         match reaction {
             Reaction::Apply => {
                 let known = self.applied.replace(announcement.position);
@@ -252,17 +250,24 @@
         }
     }
 
-    /// Records what an announcement tells of the availability of the service.
-    fn record_relayed_response<A: Adapter>(&self, shared: &Shared<A>, announcement: &Announcement) {
+    /// Records what an announcement tells of the availability of the service: whether it responded to the announcing daemon, and
+    /// for the own failure domain's relay, an outage that this daemon may not have noticed.
+    fn record_availability<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        own_domain: bool,
+        announcement: &Announcement,
+    ) {
+        if announcement.position.era != self.applied.get().era {
+            return;
+        }
         let now = shared.now();
-        let age = Duration::from_millis(announcement.response_age_ms.into());
         let mut store_outage = shared.store_outage.borrow_mut();
-        store_outage.record_response(now - age);
-        if let Some(report) =
-            announcement.outage.filter(|_| announcement.position.era == self.applied.get().era)
-        {
+        if let Some(report) = announcement.outage.filter(|_| own_domain) {
+            // Before the response, which may have ended the outage.
             store_outage.record_report(now, report);
         }
+        store_outage.record_relayed_response(announcement.response_at(now));
     }
 
     /// Announces the newest known position to the followers if this daemon is a relay and has announced nothing for some time.
