Log and count why a client connection ends

The phase of a delivery lasts until its body has been taken, instead of ending with the error that breaks it off.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -264,7 +264,8 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        if let Some(client) = &self.client {
+        // A body that was not taken is dropped with its connection.
+        if let Some(client) = self.client.as_ref().filter(|_| self.body.is_end_stream()) {
             client.record_delivered();
         }
     }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionId, ConnectionPhase, Linger};
+use medlarstair_state::steering::clients::{
+    Admission, ClientTable, ConnectionId, ConnectionPhase, ConnectionProgress, Linger,
+};
 use medlarstair_transport::clock::BootClock;
 use medlarstair_transport::http1::finish_writes;
 use medlarstair_transport::shared_stream::{poll_read, poll_write};
@@ -51,6 +53,8 @@
     /// Notified when the connection must be closed at once.
     cut: Rc<Notify>,
     cause: Cell<CutCause>,
+    /// Whether the client did not close its side in time.
+    linger_expired: Cell<bool>,
 }
 
 /// Open client connections of a daemon.
@@ -144,6 +148,16 @@
         Rc::clone(&self.signals.cut)
     }
 
+    /// What the connection has done so far.
+    pub fn progress(&self) -> Option<ConnectionProgress> {
+        self.clients.table.borrow().progress(self.clients.clock.now(), self.id)
+    }
+
+    /// Whether the connection was read for as long as it may be, and the client did not close its side.
+    pub fn is_linger_expired(&self) -> bool {
+        self.signals.linger_expired.get()
+    }
+
     /// Records that the delivery of a response begins.
     pub fn record_delivery(&self) {
         self.clients.set_phase(self.id, ConnectionPhase::Delivering);
@@ -207,19 +221,19 @@
     }
 
     /// Reads and discards data until the client closes the connection, or a limit is reached.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some(discard) = &mut self.discard else { return Poll::Ready(()) };
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(discard) = &mut self.discard else { return Poll::Ready(Ok(())) };
         let mut scratch = [0; DISCARD_BUFFER_BYTES];
         while discard.left > 0 && discard.ends.as_mut().poll(cx).is_pending() {
             let mut buf = ReadBuf::new(&mut scratch);
-            match ready!(poll_read(&self.stream, cx, &mut buf)) {
-                Ok(()) if !buf.filled().is_empty() => {
-                    discard.left = discard.left.saturating_sub(buf.filled().len());
-                }
-                Ok(()) | Err(_) => break,
+            ready!(poll_read(&self.stream, cx, &mut buf))?;
+            if buf.filled().is_empty() {
+                return Poll::Ready(Ok(()));
             }
+            discard.left = discard.left.saturating_sub(buf.filled().len());
         }
-        Poll::Ready(())
+        self.client.signals.linger_expired.set(true);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -263,7 +277,6 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.begin_closing()?;
-        ready!(self.poll_discard(cx));
-        Poll::Ready(Ok(()))
+        self.poll_discard(cx)
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -23,6 +23,7 @@
 use crate::adapter::Adapter;
 use crate::body::ResponseBody;
 use crate::clients::{Client, ClientStream, CutCause};
+use crate::connection_end::{self, ConnectionEnd};
 use crate::control;
 use crate::eventlog::EventCode;
 use crate::forward;
@@ -115,8 +116,10 @@
     let shared = Rc::clone(shared);
     actix_rt::spawn(async move {
         let _guard = guard;
-        if let Err(e) = serve_connection(&shared, stream, &client, role).await {
-            log_connection_error(&shared, &e);
+        match serve_connection(&shared, stream, &client, role).await {
+            Ok(end) if role == ListenerRole::Clients => connection_end::record(&shared, &client, end),
+            Ok(_) => {}
+            Err(e) => log_connection_error(&shared, &e),
         }
     });
 }
@@ -150,7 +153,7 @@
     stream: TcpStream,
     client: &Rc<Client>,
     role: ListenerRole,
-) -> io::Result<()> {
+) -> io::Result<ConnectionEnd> {
     enable_dead_peer_detection(&stream)?;
     limit_socket_buffers(&stream, SOCKET_BUFFER_BYTES)?;
     let stream = Rc::new(stream);
@@ -176,7 +179,15 @@
         tokio::select! {
             // A response that is ready is sent first.
             biased;
-            ended = conn.as_mut() => return ended.map_err(io::Error::other),
+            ended = conn.as_mut() => return Ok(match ended {
+                Ok(()) if client.is_linger_expired() => ConnectionEnd::NotClosedByClient,
+                Ok(()) => ConnectionEnd::Finished,
+                Err(e) => {
+                    let end = ConnectionEnd::of_error(&e);
+                    log_connection_error(shared, &io::Error::other(e));
+                    end
+                }
+            }),
             cause = client.cut() => {
                 shared.metrics.limits.with_label_values(&[cause.name()]).inc();
                 if let Some(log) = shared.events.admit(shared.now(), EventCode(583)) {
@@ -187,10 +198,10 @@
                     // The kernel would go on to send what the client does not read.
                     stream.set_zero_linger()?;
                 }
-                return Ok(());
+                return Ok(ConnectionEnd::Limit(cause));
             }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
-            () = closed_by_peer(&stream) => return Ok(()),
+            () = closed_by_peer(&stream) => return Ok(ConnectionEnd::ClientLeft),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod clients;
 pub mod config;
+pub mod connection_end;
 pub mod control;
 pub mod daemon;
 pub mod eventlog;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub store_eras: IntCounterVec,
     /// Times that a limit on resources took effect, by limit.
     pub limits: IntCounterVec,
+    /// Connections of clients that ended, by cause and by what happened on them.
+    pub connection_ends: IntCounterVec,
     /// Resources that are in use, by resource.
     pub held: IntGaugeVec,
 }
@@ -73,6 +75,11 @@
             counter("medlarstair_peer_bytes_total", "Bytes of these messages", &["kind", "direction"])?;
         let limits =
             counter("medlarstair_limit_hits_total", "Limits on resources that took effect", &["limit"])?;
+        let connection_ends = counter(
+            "medlarstair_connection_ends_total",
+            "Client connections that ended",
+            &["cause", "phase"],
+        )?;
         let held =
             IntGaugeVec::new(Opts::new("medlarstair_resources_in_use", "Resources in use"), &["resource"])?;
         registry.register(Box::new(held.clone()))?;
@@ -94,6 +101,7 @@
             store_calls,
             store_eras,
             limits,
+            connection_ends,
             held,
         })
     }
--- a/crates/state/src/steering/clients.rs
+++ b/crates/state/src/steering/clients.rs
@@ -36,18 +36,35 @@
 pub struct ConnectionId(u64);
 
 /// What happens on a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum ConnectionPhase {
     /// No request has begun, or one is being received.
+    #[display("receiving")]
     Receiving,
     /// A complete request is being handled.
+    #[display("running")]
     Running,
     /// A response is being delivered.
+    #[display("delivering")]
     Delivering,
     /// All responses have been written, and the client has been told that no more data follows.
+    #[display("closing")]
     Closing,
 }
 
+/// What a connection has done so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionProgress {
+    /// What happens on it.
+    pub phase: ConnectionPhase,
+    /// Time since the last change of the phase.
+    pub age: Duration,
+    /// Time since the last byte in either direction, or the last change of the phase.
+    pub silence: Duration,
+    /// Bytes written in this phase.
+    pub written: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Connection {
     phase: ConnectionPhase,
@@ -167,6 +184,13 @@
         }
     }
 
+    /// What a connection has done so far. `None` if it is not open.
+    pub fn progress(&self, now: Timestamp, id: ConnectionId) -> Option<ConnectionProgress> {
+        let c = self.connections.get(&id)?;
+        let (age, silence) = (now.since(c.since), now.since(c.progress_at));
+        Some(ConnectionProgress { phase: c.phase, age, silence, written: c.written })
+    }
+
     /// Records that bytes were received.
     pub fn record_read(&mut self, now: Timestamp, id: ConnectionId, bytes: usize) {
         if let Some(c) = self.connections.get_mut(&id) {
