Keep connections until their responses are written

At the limit on connections, a new one took the place of a connection whose client was still getting its response: 28,928 of 160,000 bytes were missing.

A response counted as delivered when the HTTP library had taken its body, with up to 96 KiB of it not written. It is under way now until the library has written all that it has taken, and the limit on stalled deliveries covers that part too.

new_connections_replace_none_on_which_a_response_is_under_way fails before and passes. The two tests beside it hold before as well: neither a planned stop nor a short idle timeout cuts a response of 40 to 520 kB of a client that pauses for 2.5 s, whatever its buffer and wherever the rest of the response lies.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -266,7 +266,7 @@
     fn drop(&mut self) {
         // A body that was not taken is dropped with its connection.
         if let Some(client) = self.client.as_ref().filter(|_| self.body.is_end_stream()) {
-            client.record_delivered();
+            client.record_taken();
         }
     }
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -55,6 +55,8 @@
     cause: Cell<CutCause>,
     /// Whether the client did not close its side in time.
     linger_expired: Cell<bool>,
+    /// Whether the HTTP library has taken the whole response, and holds what has not been written.
+    is_flushing: Cell<bool>,
 }
 
 /// Open client connections of a daemon.
@@ -108,6 +110,10 @@
 
     /// Records that a complete request has been received on a connection.
     pub fn record_request(&self, id: ConnectionId) {
+        if let Some(signals) = self.signals.borrow().get(&id) {
+            // The response before it may be written while this request runs, which protects the connection as well.
+            signals.is_flushing.set(false);
+        }
         self.set_phase(id, ConnectionPhase::Running);
     }
 
@@ -163,9 +169,16 @@
         self.clients.set_phase(self.id, ConnectionPhase::Delivering);
     }
 
-    /// Records that a response has been delivered.
-    pub fn record_delivered(&self) {
-        self.clients.set_phase(self.id, ConnectionPhase::Receiving);
+    /// Records that the HTTP library has taken the whole response.
+    pub fn record_taken(&self) {
+        self.signals.is_flushing.set(true);
+    }
+
+    /// Records that everything that the HTTP library has taken is written.
+    fn record_flushed(&self) {
+        if self.signals.is_flushing.take() {
+            self.clients.set_phase(self.id, ConnectionPhase::Receiving);
+        }
     }
 
     /// Records that no more data follows. Returns how the connection must still be read.
@@ -271,7 +284,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // A socket has no buffer in the process.
+        // A socket has no buffer in the process, and the HTTP library has emptied its own.
+        self.client.record_flushed();
         Poll::Ready(Ok(()))
     }
 
