Let a client pause in a delivery until its deadline

A client that did not read for 6.5 s lost its response, although its deadline was 8 s: deliveries were cut after 5 s without a byte, whatever the deadline. Those of the deployments go up to 12 s.

A delivery that stalls is now cut after 5 s or at the deadline of its request, whichever is later; a deadline protects it for at most 15 s. Reading before a close lasts as long.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -16,6 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use medlarstair_state::steering::memory::HolderKind;
+use medlarstair_state::time::Timestamp;
 use rapidhash::v3::{DEFAULT_RAPID_SECRETS, RapidStreamHasherV3};
 use tokio::time::timeout;
 
@@ -237,17 +238,24 @@
     body: RequestBody,
     holding: Option<Holding>,
     client: Option<Rc<Client>>,
+    /// Deadline of the request, if its client gave one.
+    deadline: Option<Timestamp>,
 }
 
 impl ResponseBody {
     /// Creates a body whose memory is reserved by `holding`.
     pub fn new(segments: Segments, holding: Option<Holding>) -> Self {
-        Self { body: segments.into(), holding, client: None }
+        Self { body: segments.into(), holding, client: None, deadline: None }
+    }
+
+    /// Sets the deadline of the request, until which the client may take its time to read.
+    pub fn set_deadline(&mut self, deadline: Timestamp) {
+        self.deadline = Some(deadline);
     }
 
     /// Begins the delivery to a client. If the memory is needed for others, its connection is closed.
     pub fn deliver_to(&mut self, client: &Rc<Client>) {
-        client.record_delivery();
+        client.record_delivery(self.deadline);
         if let Some(holding) = &self.holding {
             holding.set_kind(HolderKind::Delivery);
             holding.notify_on_eviction(client.cut_signal());
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -13,6 +13,7 @@
 use medlarstair_state::steering::clients::{
     Admission, ClientTable, ConnectionId, ConnectionPhase, ConnectionProgress, Linger,
 };
+use medlarstair_state::time::Timestamp;
 use medlarstair_transport::clock::BootClock;
 use medlarstair_transport::http1::finish_writes;
 use medlarstair_transport::shared_stream::{poll_read, poll_write};
@@ -164,9 +165,12 @@
         self.signals.linger_expired.get()
     }
 
-    /// Records that the delivery of a response begins.
-    pub fn record_delivery(&self) {
+    /// Records that the delivery of a response begins, to a request with the given deadline.
+    pub fn record_delivery(&self, deadline: Option<Timestamp>) {
         self.clients.set_phase(self.id, ConnectionPhase::Delivering);
+        if let Some(deadline) = deadline {
+            self.clients.table.borrow_mut().protect_until(self.clients.clock.now(), self.id, deadline);
+        }
     }
 
     /// Records that the HTTP library has taken the whole response.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -117,7 +117,10 @@
         sets_account_headers: plan.accounts().is_configured(),
         may_have_run: false,
     };
-    let (res, outcome) = forward.run().await;
+    let (mut res, outcome) = forward.run().await;
+    if let Some(timeout) = forward.metadata.timeout {
+        res.body_mut().set_deadline(arrived + timeout);
+    }
     let took = shared.now().since(arrived);
     forward.log_end(res.status(), outcome, took);
     shared.metrics.requests.with_label_values(&[&*route.name, outcome]).inc();
--- a/crates/state/src/steering/clients.rs
+++ b/crates/state/src/steering/clients.rs
@@ -10,9 +10,12 @@
 
 use crate::time::Timestamp;
 
-/// Time without a byte after which the delivery of a response is cut off.
+/// Time without a byte after which the delivery of a response is cut off, unless the deadline of its request is later.
 pub const DELIVERY_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum time for which a deadline that the client chose protects the delivery of a response that stalls.
+pub const MAX_DELIVERY_DEADLINE: Duration = Duration::from_secs(15);
+
 /// Duration for which a connection without a delivery is read after the last byte to its client, so that the client learns of
 /// the end before the kernel resets the connection for data that nobody reads.
 pub const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -77,6 +80,8 @@
     written_at: Option<Timestamp>,
     /// Bytes received since the last complete request.
     received: usize,
+    /// Latest deadline of the requests whose responses have been delivered.
+    deadline: Timestamp,
     closing: bool,
 }
 
@@ -152,6 +157,7 @@
             written: 0,
             written_at: None,
             received: 0,
+            deadline: Timestamp::ZERO,
             closing: false,
         };
         self.connections.insert(id, connection);
@@ -184,6 +190,13 @@
         }
     }
 
+    /// Records that the response to a request with this deadline is delivered, which is of use to the client until then.
+    pub fn protect_until(&mut self, now: Timestamp, id: ConnectionId, deadline: Timestamp) {
+        if let Some(c) = self.connections.get_mut(&id) {
+            c.deadline = c.deadline.max(deadline.min(now + MAX_DELIVERY_DEADLINE));
+        }
+    }
+
     /// What a connection has done so far. `None` if it is not open.
     pub fn progress(&self, now: Timestamp, id: ConnectionId) -> Option<ConnectionProgress> {
         let c = self.connections.get(&id)?;
@@ -225,7 +238,8 @@
         let Some(c) = self.connections.get(&id) else {
             return Linger { time: LINGER_TIME, bytes: MIN_LINGER_BYTES };
         };
-        let delivery = c.written_at.map_or(Duration::ZERO, |at| (at + DELIVERY_STALL_TIMEOUT).since(now));
+        let delivery =
+            c.written_at.map_or(Duration::ZERO, |at| c.deadline.max(at + DELIVERY_STALL_TIMEOUT).since(now));
         let bytes = MAX_REJECTED_BYTES.saturating_sub(c.received).max(MIN_LINGER_BYTES);
         Linger { time: delivery.max(LINGER_TIME), bytes }
     }
@@ -237,7 +251,8 @@
             let is_silent = now.since(c.progress_at) >= DELIVERY_STALL_TIMEOUT;
             let is_slow =
                 age >= DELIVERY_RATE_GRACE && (c.written as f64) < age.as_secs_f64() * MIN_DELIVERY_RATE;
-            c.phase == ConnectionPhase::Delivering && !c.closing && (is_silent || is_slow)
+            let is_late = now >= c.deadline;
+            c.phase == ConnectionPhase::Delivering && !c.closing && is_late && (is_silent || is_slow)
         };
         let ids: Vec<_> = self.connections.iter().filter(|(_, c)| stalled(c)).map(|(id, _)| *id).collect();
         for id in &ids {
--- a/crates/state/tests/untrusted.rs
+++ b/crates/state/tests/untrusted.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use medlarstair_state::steering::clients::{Admission, ClientTable, ConnectionPhase, DELIVERY_STALL_TIMEOUT};
+use medlarstair_state::steering::clients::{
+    Admission, ClientTable, ConnectionPhase, DELIVERY_STALL_TIMEOUT, MAX_DELIVERY_DEADLINE,
+};
 use medlarstair_state::steering::memory::{HolderKind, MemoryBudget, Reservation, STALL_TIME};
 use medlarstair_state::steering::vm::{Megabytes, ResourceLimits, VmResources};
 use medlarstair_state::time::Timestamp;
@@ -74,3 +76,17 @@
     assert_eq!(clients.take_stalled(later), []);
     assert_eq!(clients.take_stalled(later + DELIVERY_STALL_TIMEOUT), [new]);
 }
+
+/// Guards against a delivery that is cut although its client is within its deadline, and against one that a client protects for
+/// ever by its choice of a deadline.
+#[test]
+fn a_deadline_protects_a_delivery_for_a_limited_time() {
+    let mut clients = ClientTable::new(1);
+    let Admission::Accepted(id) = clients.admit(START) else { panic!("refused") };
+    clients.set_phase(START, id, ConnectionPhase::Delivering);
+    clients.protect_until(START, id, START + 2 * DELIVERY_STALL_TIMEOUT);
+    assert_eq!(clients.take_stalled(START + 2 * DELIVERY_STALL_TIMEOUT - Duration::from_millis(1)), []);
+    clients.protect_until(START, id, START + Duration::MAX);
+    assert_eq!(clients.take_stalled(START + MAX_DELIVERY_DEADLINE - Duration::from_millis(1)), []);
+    assert_eq!(clients.take_stalled(START + MAX_DELIVERY_DEADLINE), [id]);
+}
