Deliver a response to a client that has closed its side

A client that closed its side of the connection while it read its response lost the rest, as one that had left. While its request runs that is right, since the server's work is cancelled; while the response is delivered there is none, and a client that has left entirely resets the connection by itself.

The end of the client's side now ends a connection only while a request runs on it. During a delivery it only keeps requests behind it from being handled.

a_client_that_closes_its_side_gets_the_rest_of_its_response fails before (ten of ten responses over 150 kB were cut) and passes; so do the tests of pipelines whose clients leave.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -160,6 +160,11 @@
         self.clients.table.borrow().progress(self.clients.clock.now(), self.id)
     }
 
+    /// Whether a request runs on the connection.
+    pub fn is_running(&self) -> bool {
+        self.progress().is_some_and(|progress| progress.phase == ConnectionPhase::Running)
+    }
+
     /// Whether the connection was read for as long as it may be, and the client did not close its side.
     pub fn is_linger_expired(&self) -> bool {
         self.signals.linger_expired.get()
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -2,7 +2,8 @@
 //!
 //! When a client disconnects, the future that handles its request is dropped, which cancels the work at the backend server.
 //! The HTTP library notices the end of a connection only by reading, and reads nothing while it holds bytes of a further
-//! request. The end is therefore watched for apart from it.
+//! request. The end is therefore watched for apart from it. While a response is delivered there is no work to cancel, and a
+//! client that has closed its side may still read.
 
 use std::convert::Infallible;
 use std::io;
@@ -170,11 +171,14 @@
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        // The end of the client's side is handled below.
+        .half_close(true)
         // A connection that is opened during a graceful shutdown serves a single request.
         .keep_alive(shared.phase() == Phase::Serving)
         .max_buf_size((2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(ClientStream::new(Rc::clone(&stream), Rc::clone(client))), service);
     let mut conn = pin!(conn);
+    let mut is_half_closed = false;
     loop {
         tokio::select! {
             // A response that is ready is sent first.
@@ -201,7 +205,14 @@
                 return Ok(ConnectionEnd::Limit(cause));
             }
             () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
-            () = closed_by_peer(&stream) => return Ok(ConnectionEnd::ClientLeft),
+            () = closed_by_peer(&stream), if !is_half_closed => {
+                if client.is_running() {
+                    return Ok(ConnectionEnd::ClientLeft);
+                }
+                is_half_closed = true;
+                // Nothing is done for requests behind the one whose response is delivered.
+                conn.as_mut().graceful_shutdown();
+            }
         }
     }
 }
