Leave the rest of a response to the kernel at the end of a stop

A client that read 40 kB/s lost the rest of its response when a planned stop ended, 5.6 s after the termination signal, although the daemon had all of it after 0.1 s. With further requests unread, what the kernel held was lost too.

From the deadline of all responses on, 0.2 s before the exit, the kernel's buffer takes up to 4 MiB of the rest, and delivers it after the exit. 50 ms before the exit each connection is read empty and closed. A connection that gives way to a new one is read empty as well.

--- a/crates/gateway/src/connection_end.rs
+++ b/crates/gateway/src/connection_end.rs
@@ -32,6 +32,9 @@
     /// Another error of the connection, for example an invalid request.
     #[display("failed")]
     Failed,
+    /// The process exits.
+    #[display("exit")]
+    Exit,
     /// A limit on resources.
     #[display("{}", _0.name())]
     Limit(CutCause),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -38,6 +38,9 @@
 /// Margin between the deadline for all responses and the exit of the process.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Margin between the end of the connections and the exit of the process, for their tasks to run.
+const CLOSE_MARGIN: Duration = Duration::from_millis(50);
+
 /// Delay between the end of the acceptance of requests and the refusal of those that wait for a server.
 const SEND_MARGIN: Duration = Duration::from_millis(100);
 
@@ -155,6 +158,7 @@
         accept_until: now + time_to_accept,
         send_until: now + time_to_accept + SEND_MARGIN,
         response_deadline: now + time_to_exit.saturating_sub(RESPONSE_MARGIN),
+        close_at: now + time_to_exit.saturating_sub(CLOSE_MARGIN),
     });
     sleep_until(started + time_to_accept).await;
     // The listener counts the last connections within the first of these periods.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -17,7 +17,9 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use medlarstair_state::steering::ClientLimits;
-use medlarstair_transport::http1::{closed_by_peer, enable_dead_peer_detection, limit_socket_buffers};
+use medlarstair_transport::http1::{
+    closed_by_peer, discard_unread, enable_dead_peer_detection, limit_socket_buffers, set_send_buffer,
+};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -44,6 +46,9 @@
 /// transfers 10 MB/s.
 const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 
+/// Size in bytes of the kernel's buffer for what is left of a response when the process exits. The kernel delivers it afterwards.
+const EXIT_BUFFER_BYTES: usize = 4 << 20;
+
 /// Smallest connection buffer in bytes that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -178,33 +183,27 @@
         .max_buf_size((2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(ClientStream::new(Rc::clone(&stream), Rc::clone(client))), service);
     let mut conn = pin!(conn);
-    let mut is_half_closed = false;
+    let (mut is_half_closed, mut is_exiting) = (false, false);
     loop {
+        let is_stopping = shared.phase() == Phase::Stopping;
         tokio::select! {
             // A response that is ready is sent first.
             biased;
-            ended = conn.as_mut() => return Ok(match ended {
-                Ok(()) if client.is_linger_expired() => ConnectionEnd::NotClosedByClient,
-                Ok(()) => ConnectionEnd::Finished,
-                Err(e) => {
-                    let end = ConnectionEnd::of_error(&e);
-                    log_connection_error(shared, &io::Error::other(e));
-                    end
-                }
-            }),
-            cause = client.cut() => {
-                shared.metrics.limits.with_label_values(&[cause.name()]).inc();
-                if let Some(log) = shared.events.admit(shared.now(), EventCode(583)) {
-                    slog::info!(log, "connection closed by a limit"; "code" => 583, "limit" => cause.name(),
-                        "connections" => shared.clients.len(), "held" => shared.memory.used());
-                }
-                if cause != CutCause::ConnectionLimit {
-                    // The kernel would go on to send what the client does not read.
-                    stream.set_zero_linger()?;
+            ended = conn.as_mut() => return Ok(end_of(shared, client, ended)),
+            cause = client.cut() => return cut(shared, &stream, cause),
+            () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
+            () = shared.shutdown_reaches(|shutdown| shutdown.response_deadline),
+                if is_stopping && !is_exiting =>
+            {
+                is_exiting = true;
+                if let Err(e) = set_send_buffer(&stream, EXIT_BUFFER_BYTES) {
+                    log_connection_error(shared, &e);
                 }
-                return Ok(ConnectionEnd::Limit(cause));
             }
-            () = shared.shutdown_started.notified() => conn.as_mut().graceful_shutdown(),
+            () = shared.shutdown_reaches(|shutdown| shutdown.close_at), if is_stopping => {
+                discard_unread(&stream);
+                return Ok(ConnectionEnd::Exit);
+            }
             () = closed_by_peer(&stream), if !is_half_closed => {
                 if client.is_running() {
                     return Ok(ConnectionEnd::ClientLeft);
@@ -217,6 +216,35 @@
     }
 }
 
+/// Why the HTTP library has ended a connection.
+fn end_of<A: Adapter>(shared: &Shared<A>, client: &Client, ended: hyper::Result<()>) -> ConnectionEnd {
+    match ended {
+        Ok(()) if client.is_linger_expired() => ConnectionEnd::NotClosedByClient,
+        Ok(()) => ConnectionEnd::Finished,
+        Err(e) => {
+            let end = ConnectionEnd::of_error(&e);
+            log_connection_error(shared, &io::Error::other(e));
+            end
+        }
+    }
+}
+
+/// Prepares the end of a connection because of a limit.
+fn cut<A: Adapter>(shared: &Shared<A>, stream: &TcpStream, cause: CutCause) -> io::Result<ConnectionEnd> {
+    shared.metrics.limits.with_label_values(&[cause.name()]).inc();
+    if let Some(log) = shared.events.admit(shared.now(), EventCode(583)) {
+        slog::info!(log, "connection closed by a limit"; "code" => 583, "limit" => cause.name(),
+            "connections" => shared.clients.len(), "held" => shared.memory.used());
+    }
+    match cause {
+        // The kernel may still deliver the last response.
+        CutCause::ConnectionLimit => discard_unread(stream),
+        // The kernel would go on to send what the client does not read.
+        CutCause::Memory | CutCause::SlowDelivery => stream.set_zero_linger()?,
+    }
+    Ok(ConnectionEnd::Limit(cause))
+}
+
 /// Handles a request according to the role of the listener.
 async fn respond<A: Adapter>(
     shared: &Rc<Shared<A>>,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -44,8 +44,10 @@
     /// End of the sends to servers, which might still be at work on a later request when the process exits. Later than
     /// `accept_until`, so that clients whose requests are refused do not connect while the listener closes.
     pub send_until: Timestamp,
-    /// Deadline for all responses.
+    /// Deadline for all responses. From then on the kernel gets room for what is left of them.
     pub response_deadline: Timestamp,
+    /// End of the connections, just before the process exits.
+    pub close_at: Timestamp,
 }
 
 /// State shared by the tasks of a daemon.
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -46,6 +46,12 @@
 /// Maximum size in bytes of a response head, and of the buffer for a response. The head of a faulty server may be endless.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Buffer size in bytes for discarded data.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
+/// Maximum number of reads that discard data. A client may send on all the time.
+const MAX_DISCARDS: usize = 256;
+
 /// Error of an HTTP exchange: no complete response was received.
 #[derive(Debug, Display, Error)]
 pub enum ExchangeError {
@@ -238,6 +244,26 @@
     socket.set_send_buffer_size(bytes)
 }
 
+/// Sets the size in bytes of the kernel's buffer for what is sent on a connection. The system may allow less.
+///
+/// # Errors
+///
+/// Any error setting the socket option.
+pub fn set_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(bytes)
+}
+
+/// Discards what has arrived on a connection, so that the kernel does not reset it when it is closed.
+pub fn discard_unread(stream: &TcpStream) {
+    let mut scratch = [0; DISCARD_BUFFER_BYTES];
+    for _ in 0..MAX_DISCARDS {
+        // At the end of the stream, or after an error, nothing is left.
+        if !stream.try_read(&mut scratch).is_ok_and(|n| n > 0) {
+            return;
+        }
+    }
+}
+
 /// Lets the kernel close a connection whose sent data is not acknowledged, or no longer.
 fn set_user_timeout(stream: &TcpStream, is_on: bool) -> io::Result<()> {
     SockRef::from(stream).set_tcp_user_timeout(is_on.then_some(TCP_USER_TIMEOUT))
