Close a client's connection after three unanswered probes

The kernel closed a connection on which a client waits when a single keep-alive probe got no answer within a second, so that one lost packet lost the response.

one_lost_probe_does_not_end_a_connection checks the socket's settings; it fails before and passes.

--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -36,8 +36,8 @@
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of unanswered keep-alive probes after which a connection is closed.
-const KEEP_ALIVE_PROBES: u32 = 1;
+/// Number of unanswered keep-alive probes after which a connection is closed. Two lost packets in a row do not close it.
+const KEEP_ALIVE_PROBES: u32 = 3;
 
 /// Maximum size in bytes of a request body that a server takes into its buffers without reading it. While a larger one is sent,
 /// a server that reads slowly looks like one that is unreachable.
--- a/crates/transport/tests/http1.rs
+++ b/crates/transport/tests/http1.rs
@@ -8,9 +8,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use medlarstair_transport::http1::{BufferedResponse, ClientConnection, ExchangeError};
+use medlarstair_transport::http1::{
+    BufferedResponse, ClientConnection, ExchangeError, enable_dead_peer_detection,
+};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 /// Limit on the body of a response in bytes.
@@ -97,3 +100,21 @@
     assert_eq!(end.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
     assert!(abandoned.await.unwrap());
 }
+
+/// Guards against a client that loses its response because of one lost packet: a single unanswered probe ended the connection on
+/// which it waited.
+#[tokio::test]
+async fn one_lost_probe_does_not_end_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let _client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    enable_dead_peer_detection(&stream).unwrap();
+    let socket = SockRef::from(&stream);
+    assert!(socket.keepalive().unwrap());
+    assert!(socket.tcp_keepalive_retries().unwrap() > 1);
+    assert_eq!(
+        socket.tcp_user_timeout().unwrap(),
+        None,
+        "it also ends a connection whose peer does not read"
+    );
+}
