List all keys when a response cannot be used

A watch returns each change with its value, so the response had 8.5 MB, more than the 8 MiB that the daemon takes; it repeated the same watch until the store discarded the history.

--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -142,7 +142,7 @@
     }
 
     /// Watches until all keys must be listed again: the service has discarded changes since the last known revision or was
-    /// restored from an older copy, or a response with all missed changes does not arrive in time.
+    /// restored from an older copy, or a response with all missed changes does not arrive in time or cannot be used.
     async fn watch<A: Adapter, S: RenewableLeaseStore>(
         &self,
         shared: &Shared<A>,
@@ -185,9 +185,10 @@
                 }
                 Err(e) => {
                     record_failure(shared, &e);
-                    // The changes of a long time may be too many for a slow link. A listing has each key only once.
+                    // The changes of a long time may be too many for a slow link, or for one response. A listing has each key
+                    // only once, and comes in pages.
                     let is_too_long = e.is_timed_out() && is_fetch;
-                    if e.is_history_lost() || is_too_long {
+                    if e.is_history_lost() || e.is_unusable() || is_too_long {
                         return;
                     }
                     tokio::select! {
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::http::response::Parts;
@@ -72,6 +72,18 @@
     },
 }
 
+impl ExchangeError {
+    /// Returns whether the response body is longer than allowed.
+    ///
+    /// ```
+    /// use medlarstair_transport::http1::ExchangeError;
+    /// assert!(!ExchangeError::Unsent.is_too_long());
+    /// ```
+    pub fn is_too_long(&self) -> bool {
+        matches!(self, Self::Cut { source } if source.is::<LengthLimitError>())
+    }
+}
+
 /// A response that was received completely.
 #[derive(Debug)]
 pub struct BufferedResponse {
--- a/crates/transport/src/kv.rs
+++ b/crates/transport/src/kv.rs
@@ -36,6 +36,7 @@
     Unavailable,
     TimedOut,
     HistoryLost,
+    Unusable,
     EarlierEra,
 }
 
@@ -59,6 +60,12 @@
         }
     }
 
+    /// Creates the error of a call whose response cannot be used: it is too long or cannot be read. The same call would get it
+    /// again.
+    pub fn unusable(cause: impl ToString) -> Self {
+        Self { cause: cause.to_string().into(), kind: FailureKind::Unusable }
+    }
+
     /// Creates the error of a response from before a restoration of the service of which a response is known.
     ///
     /// ```
@@ -82,6 +89,11 @@
         self.kind == FailureKind::HistoryLost
     }
 
+    /// Returns whether this is an error of [`unusable`](Self::unusable).
+    pub fn is_unusable(&self) -> bool {
+        self.kind == FailureKind::Unusable
+    }
+
     /// Returns whether this is an error of [`earlier_era`](Self::earlier_era).
     pub fn is_earlier_era(&self) -> bool {
         self.kind == FailureKind::EarlierEra
