Grant shares of quotas only with a recent list of daemons

A new coordinator waits for a lease and 1 s, in which its predecessor was taken to notice the change. One that the store turns away notices nothing. A daemon now grants on its own authority only if its list was known to be complete 1.3 s ago, by a response to itself or to its relay, and others allow that time. Without, hearing from most of the others is needed, as before after 3 s.

The price is a takeover of 2.5 s instead of 2.2 s, and an earlier end of grants in an outage at daemons that hear from few others.

--- a/crates/gateway/src/store_watcher.rs
+++ b/crates/gateway/src/store_watcher.rs
@@ -104,6 +104,7 @@
     ) -> Result<(), StoreError> {
         // An announced change that is newer than the listing would count as deleted by it.
         self.applied.set(Position::default());
+        let called_at = shared.now();
         let listed = store.list("").await;
         count_call(shared, "list", &listed);
         let listing = listed?;
@@ -129,6 +130,7 @@
         }
         self.apply_entries(shared, listing.entries);
         self.applied.set(Position { era: listing.era, revision });
+        shared.quotas.borrow_mut().record_view(called_at);
         Ok(())
     }
 
@@ -220,6 +222,8 @@
             self.announce_changes(shared, after, watched, &listing.entries);
         }
         self.apply_entries(shared, newer_than(known, listing.entries));
+        // The call may have waited, but what it returns was complete when it ended.
+        shared.quotas.borrow_mut().record_view(shared.now());
     }
 
     /// Handles an announcement of a relay.
@@ -239,6 +243,9 @@
         let reaction =
             shared.store_relay.borrow_mut().receive(now, own_domain, &announcement, self.applied.get());
         self.record_availability(shared, own_domain, &announcement);
+        if own_domain && reaction != Reaction::Fetch && announcement.position >= self.applied.get() {
+            shared.quotas.borrow_mut().record_view(announcement.response_at(now));
+        }
         match reaction {
             Reaction::Apply => {
                 let known = self.applied.replace(announcement.position);
--- a/crates/state/src/steering/quota/engine.rs
+++ b/crates/state/src/steering/quota/engine.rs
@@ -7,7 +7,7 @@
 
 use crate::steering::accounts::{Account, Accounts, Quota};
 use crate::steering::quota::coordinator::{Coordinator, Terms};
-use crate::steering::quota::fleet::{QuotaDaemon, QuotaFleet};
+use crate::steering::quota::fleet::{QuotaDaemon, QuotaFleet, VIEW_DELAY};
 use crate::steering::quota::holder::Holder;
 use crate::steering::quota::message::{
     Datagram, Demand, Grant, LeasedShare, MAX_ACCOUNTS_PER_MESSAGE, Report, Sequence,
@@ -86,6 +86,8 @@
     registered_at: Timestamp,
     /// Whether the entry of this daemon is known to be lost.
     is_unlisted: bool,
+    /// Time at which the list of daemons was known to be complete.
+    viewed_at: Timestamp,
     quotas: HashMap<AccountKey, Quota>,
     daemons: Vec<QuotaDaemon>,
     fleet: QuotaFleet,
@@ -111,6 +113,7 @@
             is_starting: true,
             registered_at: now,
             is_unlisted: false,
+            viewed_at: now,
             quotas: HashMap::new(),
             daemons: Vec::new(),
             fleet: QuotaFleet::default(),
@@ -163,6 +166,12 @@
     pub fn record_registration(&mut self, called_at: Timestamp) {
         self.registered_at = self.registered_at.max(called_at);
         self.is_unlisted = false;
+        self.record_view(called_at);
+    }
+
+    /// Records that the list of daemons was complete at the time `at`.
+    pub fn record_view(&mut self, at: Timestamp) {
+        self.viewed_at = self.viewed_at.max(at);
     }
 
     /// Records that the entry of this daemon is lost. It grants no leases until the entry is confirmed again, since the others
@@ -394,13 +403,14 @@
         })
     }
 
-    /// Whether this daemon may grant leases. One that is no longer listed must not, since another one may have taken over. If
-    /// the list cannot be confirmed, a daemon that hears from most of the others is not cut off from them.
+    /// Whether this daemon may grant leases. One that is no longer listed, or that may not know of a daemon that joined, must not,
+    /// since another one may have taken over. If the list cannot be confirmed, a daemon that hears from most of the others is not
+    /// cut off from them.
     fn may_coordinate(&self, now: Timestamp) -> bool {
         if self.is_unlisted {
             return false;
         }
-        if now.since(self.registered_at) < REGISTRATION_TTL {
+        if now.since(self.registered_at) < REGISTRATION_TTL && now.since(self.viewed_at) < VIEW_DELAY {
             return true;
         }
         let lease = self.fleet.lease_duration();
--- a/crates/state/src/steering/quota/fleet.rs
+++ b/crates/state/src/steering/quota/fleet.rs
@@ -32,8 +32,9 @@
 /// Duration of a lease in report periods, so that several messages may be lost before a share is.
 const LEASE_PERIODS: u32 = 4;
 
-/// Time in which all daemons notice a change of the list of daemons.
-const VIEW_DELAY: Duration = Duration::from_secs(1);
+/// Time in which all daemons notice a change of the list of daemons. One that cannot know whether its list is so recent grants no
+/// leases on its own authority.
+pub const VIEW_DELAY: Duration = Duration::from_millis(1_300);
 
 /// Fraction of the tolerance of a quota for the floors, each of which allows at least one request at once.
 const FLOOR_TOLERANCE_FRACTION: f64 = 0.7;
--- a/crates/state/tests/quota.rs
+++ b/crates/state/tests/quota.rs
@@ -203,6 +203,31 @@
     assert!(outstanding_after(3.0, false) > 0.0);
 }
 
+/// Guards against two coordinators of one quota: a daemon joins, and the coordinator until then does not know it, because only that
+/// one is cut off from the service that lists the daemons (review case 14).
+#[test]
+fn a_daemon_that_joins_does_not_double_a_quota() {
+    const DAEMONS: usize = 3;
+    for joining in 0..DAEMONS {
+        let mut fleet = Fleet::new(DAEMONS, accounts(RATE, RATE / 10.0));
+        let left: BTreeSet<usize> = (0..DAEMONS).filter(|n| *n != joining).collect();
+        fleet.kill(joining);
+        left.iter().for_each(|n| fleet.set_view(*n, left.clone()));
+        fleet.run(secs(7.5), |_| RATE / 5.0);
+        fleet.run(secs(1.0), |_| 2.0 * RATE);
+        let old = fleet.coordinator();
+        fleet.off_store = BTreeSet::from([old]);
+        fleet.run(secs(0.2), |_| 2.0 * RATE);
+        let all: BTreeSet<usize> = (0..DAEMONS).collect();
+        fleet.start(joining, all.clone());
+        for n in left.into_iter().filter(|n| *n != old) {
+            fleet.set_view(n, all.clone());
+        }
+        fleet.run(secs(6.0), |_| 2.0 * RATE);
+        assert!(fleet.max_excess <= 0.0, "{joining}: {}", fleet.max_excess);
+    }
+}
+
 /// Guards against a daemon that was paused and uses its lease afterwards, while others have it.
 #[test]
 fn a_paused_daemon_does_not_use_an_expired_lease() {
