Coordinate quotas only when the others can know of it

The takeover delay ran from the last change of its own list. After its entry was lost it went on at once when it was listed again, although the others had chosen another coordinator meanwhile.

The delay runs from the later of that change and the confirmation of the entry, and the loss of the entry ends all that the daemon coordinates.

a_daemon_grants_nothing_before_the_others_may_know_it fails before and passes.

--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -79,7 +79,7 @@
         }
         let is_listed = renewed && !shared.own_entry.borrow().is_lost();
         if is_listed {
-            shared.quotas.borrow_mut().record_registration(called_at);
+            shared.quotas.borrow_mut().record_registration(shared.now(), called_at);
         }
         let known_era = std::mem::replace(&mut era, store.era());
         if known_era != era && known_era != Era::default() {
--- a/crates/state/src/steering/quota/engine.rs
+++ b/crates/state/src/steering/quota/engine.rs
@@ -84,8 +84,9 @@
     started_at: Timestamp,
     is_starting: bool,
     registered_at: Timestamp,
-    /// Whether the entry of this daemon is known to be lost.
-    is_unlisted: bool,
+    /// Time from which the entry of this daemon is known to exist. `None` before the first confirmation, and after the entry was
+    /// lost.
+    listed_since: Option<Timestamp>,
     /// Time at which the list of daemons was known to be complete.
     viewed_at: Timestamp,
     quotas: HashMap<AccountKey, Quota>,
@@ -112,7 +113,7 @@
             started_at: now,
             is_starting: true,
             registered_at: now,
-            is_unlisted: false,
+            listed_since: None,
             viewed_at: now,
             quotas: HashMap::new(),
             daemons: Vec::new(),
@@ -162,10 +163,11 @@
         self.configure_holders(now);
     }
 
-    /// Records that the service that lists the daemons confirmed the entry of this one, in answer to a call at `called_at`.
-    pub fn record_registration(&mut self, called_at: Timestamp) {
+    /// Records that the service that lists the daemons confirmed the entry of this one at `now`, in answer to a call at
+    /// `called_at`.
+    pub fn record_registration(&mut self, now: Timestamp, called_at: Timestamp) {
         self.registered_at = self.registered_at.max(called_at);
-        self.is_unlisted = false;
+        self.listed_since.get_or_insert(now);
         self.record_view(called_at);
     }
 
@@ -174,10 +176,11 @@
         self.viewed_at = self.viewed_at.max(at);
     }
 
-    /// Records that the entry of this daemon is lost. It grants no leases until the entry is confirmed again, since the others
-    /// choose another coordinator.
+    /// Records that the entry of this daemon is lost. Since the others choose another coordinator, it grants no leases until the
+    /// entry is confirmed again and those of the other one have expired.
     pub fn record_removal(&mut self) {
-        self.is_unlisted = true;
+        self.listed_since = None;
+        self.coordinations.clear();
     }
 
     fn configure_holders(&mut self, now: Timestamp) {
@@ -362,9 +365,8 @@
 
     /// Answers a report with grants for the accounts that this daemon coordinates. `None` if it coordinates none of them.
     fn answer(&mut self, now: Timestamp, report: &Report) -> Option<Grant> {
-        if !self.may_coordinate(now) {
-            return None;
-        }
+        let listed_since = self.listed_since.filter(|_| self.may_coordinate(now))?;
+        let grants_from = self.fleet_changed_at.max(listed_since) + self.fleet.takeover_delay();
         let sequence = self.next_sequence();
         let lease_duration = self.fleet.lease_duration();
         let mut shares = Vec::new();
@@ -375,7 +377,6 @@
             if self.fleet.coordinator(demand.account) != Some(self.me) {
                 continue;
             }
-            let grants_from = self.fleet_changed_at + self.fleet.takeover_delay();
             let coordination = self
                 .coordinations
                 .entry(demand.account)
@@ -403,13 +404,10 @@
         })
     }
 
-    /// Whether this daemon may grant leases. One that is no longer listed, or that may not know of a daemon that joined, must not,
-    /// since another one may have taken over. If the list cannot be confirmed, a daemon that hears from most of the others is not
-    /// cut off from them.
+    /// Whether this daemon, which is listed, may grant leases. One whose entry may have ended, or that may not know of a daemon
+    /// that joined, must not, since another one may have taken over. If the list cannot be confirmed, a daemon that hears from
+    /// most of the others is not cut off from them.
     fn may_coordinate(&self, now: Timestamp) -> bool {
-        if self.is_unlisted {
-            return false;
-        }
         if now.since(self.registered_at) < REGISTRATION_TTL && now.since(self.viewed_at) < VIEW_DELAY {
             return true;
         }
--- a/crates/state/tests/quota.rs
+++ b/crates/state/tests/quota.rs
@@ -228,6 +228,24 @@
     }
 }
 
+/// Guards against two coordinators of one quota: a daemon that starts is listed late and counts from the time at which it knew the
+/// others.
+#[test]
+fn a_daemon_grants_nothing_before_the_others_may_know_it() {
+    let mut fleet = fleet();
+    let coordinator = fleet.coordinator();
+    let account = fleet.account.clone();
+    fleet.off_store = BTreeSet::from([coordinator]);
+    fleet.start(coordinator, (0..DAEMONS).collect());
+    for (seconds, may_grant) in [(2.9, false), (2.4, false), (1.0, true)] {
+        fleet.run(secs(seconds), |_| USUAL);
+        let now = fleet.now;
+        let outstanding = fleet.quotas(coordinator).outstanding(now, &account);
+        assert_eq!(outstanding > 0.0, may_grant, "{outstanding}");
+        fleet.off_store.clear();
+    }
+}
+
 /// Guards against a daemon that was paused and uses its lease afterwards, while others have it.
 #[test]
 fn a_paused_daemon_does_not_use_an_expired_lease() {
--- a/crates/state/tests/quota_support/mod.rs
+++ b/crates/state/tests/quota_support/mod.rs
@@ -190,7 +190,7 @@
             }
         }
         if is_registered {
-            daemon.quotas.record_registration(now);
+            daemon.quotas.record_registration(now, now);
         }
         if (now.0 / STEP.as_micros() as u64 + n as u64).is_multiple_of(TICK_STEPS) {
             let out = daemon.quotas.tick(now);
