Apply the store's entries in a module of their own

store_watcher followed the service and applied what it returned. Entries, with what is deferred of them, are store_entries now, one function for each kind; the watcher keeps listing, watching and announcing.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod registration;
 mod send;
 pub mod shared;
+pub mod store_entries;
 pub mod store_outage;
 pub mod store_relay;
 pub mod store_view;
