Begin no request of a client that has closed its side

Since a client may close its side while it reads, a request behind a delivered response could still begin afterwards, with nothing to cancel it. It now gets 503 and is passed on to nobody.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -54,6 +54,8 @@
     /// Notified when the connection must be closed at once.
     cut: Rc<Notify>,
     cause: Cell<CutCause>,
+    /// Whether the client has closed its side.
+    is_half_closed: Cell<bool>,
     /// Whether the client did not close its side in time.
     linger_expired: Cell<bool>,
     /// Whether the HTTP library has taken the whole response, and holds what has not been written.
@@ -165,6 +167,16 @@
         self.progress().is_some_and(|progress| progress.phase == ConnectionPhase::Running)
     }
 
+    /// Records that the client has closed its side. It may still read.
+    pub fn record_closed_side(&self) {
+        self.signals.is_half_closed.set(true);
+    }
+
+    /// Whether the client has closed its side.
+    pub fn has_closed_its_side(&self) -> bool {
+        self.signals.is_half_closed.get()
+    }
+
     /// Whether the connection was read for as long as it may be, and the client did not close its side.
     pub fn is_linger_expired(&self) -> bool {
         self.signals.linger_expired.get()
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -168,7 +168,12 @@
         let (shared, client) = (Rc::clone(shared), Rc::clone(client));
         req.extensions_mut().insert(client.id());
         async move {
-            let mut res = respond(&shared, req, role).await;
+            let mut res = if client.has_closed_its_side() {
+                // Nobody waits for a request that is only begun now.
+                control::empty_response(StatusCode::SERVICE_UNAVAILABLE)
+            } else {
+                respond(&shared, req, role).await
+            };
             res.body_mut().deliver_to(&client);
             Ok::<_, Infallible>(res)
         }
@@ -183,7 +188,7 @@
         .max_buf_size((2 * limits.max_head_bytes).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(ClientStream::new(Rc::clone(&stream), Rc::clone(client))), service);
     let mut conn = pin!(conn);
-    let (mut is_half_closed, mut is_exiting) = (false, false);
+    let mut is_exiting = false;
     loop {
         let is_stopping = shared.phase() == Phase::Stopping;
         tokio::select! {
@@ -204,11 +209,11 @@
                 discard_unread(&stream);
                 return Ok(ConnectionEnd::Exit);
             }
-            () = closed_by_peer(&stream), if !is_half_closed => {
+            () = closed_by_peer(&stream), if !client.has_closed_its_side() => {
                 if client.is_running() {
                     return Ok(ConnectionEnd::ClientLeft);
                 }
-                is_half_closed = true;
+                client.record_closed_side();
                 // Nothing is done for requests behind the one whose response is delivered.
                 conn.as_mut().graceful_shutdown();
             }
