Accept a reported outage that ended with an own response

At the end of an outage for all, a renewal of the lease may get a response just before the relay does. Since an outage counts only as far as no response lies in it, that response hid the relay's report at a daemon none of whose calls had failed, and running servers would have been dropped.

The last period of 2 s without a known response is remembered, and a report counts if that period lies in it. a_response_just_before_the_end_of_a_reported_ outage_does_not_hide_it fails before and passes.

--- a/crates/gateway/src/store_outage.rs
+++ b/crates/gateway/src/store_outage.rs
@@ -32,6 +32,13 @@
     lasted: Duration,
 }
 
+/// A period in which no daemon is known to have got a response.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    since: Timestamp,
+    until: Timestamp,
+}
+
 /// An outage that has ended recently, as one daemon reports it to others. Times are relative, since clocks differ.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutageReport {
@@ -70,6 +77,8 @@
     known_response: Timestamp,
     /// Longest period without a known response since calls have been failing.
     silence: Duration,
+    /// Last period without a known response in which entries may have expired, whether calls failed or hung.
+    last_silence: Option<Silence>,
     ended: Option<EndedOutage>,
 }
 
@@ -92,8 +101,12 @@
     /// Records that another daemon got a response at the time `at`. The service was available then, although calls of this one
     /// may fail.
     pub fn record_relayed_response(&mut self, at: Timestamp) {
+        let silence = at.since(self.known_response);
         if self.is_failing {
-            self.silence = self.silence.max(at.since(self.known_response));
+            self.silence = self.silence.max(silence);
+        }
+        if silence >= MIN_OUTAGE {
+            self.last_silence = Some(Silence { since: self.known_response, until: at });
         }
         self.known_response = self.known_response.max(at);
     }
@@ -134,13 +147,16 @@
             return;
         }
         let at = now - report.ended_ago;
-        let since = (at - report.lasted).max(self.known_response);
-        let lasted = at.since(since);
+        let began = at - report.lasted;
+        // This daemon may have got a response at the end of the outage, before the other one did.
+        let silences = [self.last_silence, Some(Silence { since: self.known_response, until: at })];
+        let shared = silences.into_iter().flatten().map(|s| s.until.min(at).since(s.since.max(began)));
+        let lasted = shared.max().unwrap_or_default();
         if lasted < MIN_OUTAGE {
             return;
         }
         self.ended = Some(EndedOutage { at, revision: report.revision, lasted });
-        self.known_response = at;
+        self.known_response = self.known_response.max(at);
         self.silence = Duration::ZERO;
     }
 
